--- /dev/null
+++ b/src/main/java/sprucerock/host/Host.java
@@ -0,0 +1,43 @@
+package sprucerock.host;
+
+import sprucerock.model.Build;
+import sprucerock.model.Pick;
+import sprucerock.model.Rpc;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/** What the module can do; whoever runs it, a bench adapter or a relay, carries it out at once and in order. */
+public interface Host {
+    /** On trial, on the way back, released, withdrawn: where a build stands. */
+    enum Standing { ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN }
+
+    /** What a relay says of a build. */
+    enum Verdict { NONE, ON, HOLD, BACK }
+
+    /** How the release desk took a vote. */
+    enum Reply { COUNTS, MOOT, TOO_MANY, ERROR, UNANSWERED }
+
+    Moment now();
+
+    /** Sends the pick to its unit. The first ok answers the client by itself. */
+    void send(Pick pick);
+
+    void cancel(Pick pick);
+
+    /** Final: the client may safely try again, best after {@code wait} (zero: no advice). */
+    void pushBack(Rpc rpc, Span wait);
+
+    /** Final: no promise about what happened. */
+    void abort(Rpc rpc);
+
+    /** Runs {@code what} in the first round at or after {@code when}. */
+    void wake(Moment when, Runnable what);
+
+    void vote(Build build, int stage, Verdict verdict);
+
+    void subscribe();
+
+    void fetchUnits();
+
+    void log(String line);
+}
--- /dev/null
+++ b/src/main/java/sprucerock/model/Method.java
@@ -0,0 +1,38 @@
+package sprucerock.model;
+
+import sprucerock.time.Span;
+
+/** A kind of RPC, as the start settings state it. */
+public final class Method {
+    public enum Effect { IDEMPOTENT, TOKENED, NON_IDEMPOTENT }
+
+    public enum Group { ALL, ZONE, CELL }
+
+    public final int index;
+    public final Effect effect;
+    public final Group group;
+    public final Span softDeadline;
+    public final Span window;
+    public final double utility;
+    public final boolean stream;
+
+    public Method(int index, Effect effect, Group group, Span softDeadline, Span window, double utility,
+        boolean stream) {
+        this.index = index;
+        this.effect = effect;
+        this.group = group;
+        this.softDeadline = softDeadline;
+        this.window = window;
+        this.utility = utility;
+        this.stream = stream;
+    }
+
+    /** Never to be cut short in the hope of another pick: what must not run twice, and streams. */
+    public boolean streamOrOnce() {
+        return effect == Effect.NON_IDEMPOTENT || stream;
+    }
+
+    public boolean idempotent() {
+        return effect == Effect.IDEMPOTENT;
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/model/Pick.java
@@ -0,0 +1,31 @@
+package sprucerock.model;
+
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/** One sending of an RPC to a unit. */
+public final class Pick {
+    public final Rpc rpc;
+    public final Unit unit;
+    public final int number;
+    public final Moment sent;
+    /** When to give up on it; null: not before the client does. */
+    public final Span patience;
+    public Outcome outcome;
+    public Span took;
+    public boolean overdue;
+    public boolean copy;
+    public Object match;
+
+    public Pick(Rpc rpc, Unit unit, Moment sent, Span patience) {
+        this.rpc = rpc;
+        this.unit = unit;
+        this.number = rpc.picks.size();
+        this.sent = sent;
+        this.patience = patience;
+    }
+
+    public boolean mayHaveRun() {
+        return outcome == null || !outcome.neverRan;
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/model/Rpc.java
@@ -0,0 +1,33 @@
+package sprucerock.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/** One RPC that a client handed to this relay, with the picks made for it. */
+public final class Rpc {
+    public final long id;
+    public final Method method;
+    public final int customer;
+    public final long key;
+    public final Moment arrived;
+    public final Moment deadline;
+    /** Expected work as the client hinted it; null without a hint. */
+    public final Span hint;
+    public final List<Pick> picks = new ArrayList<>(2);
+    public boolean ended;
+    public boolean streaming;
+    public int out;
+    public int repeats;
+
+    public Rpc(long id, Method method, int customer, long key, Moment arrived, Moment deadline, Span hint) {
+        this.id = id;
+        this.method = method;
+        this.customer = customer;
+        this.key = key;
+        this.arrived = arrived;
+        this.deadline = deadline;
+        this.hint = hint;
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/model/Unit.java
@@ -0,0 +1,49 @@
+package sprucerock.model;
+
+import sprucerock.stats.DecayingSum;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/** One run of one machine's process: a restart, or another machine under the same id, is another unit. */
+public final class Unit {
+    public final long id;
+    public final int zone;
+    public final int kind;
+    public final int cell;
+    public final Build build;
+    /** When the process started; null where that was long ago. */
+    public final Moment started;
+    public double weight;
+    public boolean ready;
+
+    /** What the module notes about the unit. */
+    public int out;
+    public int outcomes;
+    public int outcomesSeen;
+    public Moment retryAt;
+    public final DecayingSum slowness = new DecayingSum(Span.ofMs(4000));
+    public final DecayingSum answers = new DecayingSum(Span.ofMs(4000));
+    public double coldTokens;
+    public Moment coldAsOf;
+    public double reportedLoad;
+    public Moment reportedAt;
+    public int excess;
+
+    public Unit(long id, int zone, int kind, int cell, Build build, Moment started, double weight) {
+        this.id = id;
+        this.zone = zone;
+        this.kind = kind;
+        this.cell = cell;
+        this.build = build;
+        this.started = started;
+        this.weight = weight;
+    }
+
+    public boolean sameRun(int build, Moment started) {
+        return this.build.number == build && java.util.Objects.equals(this.started, started);
+    }
+
+    public boolean olderThan(Span age, Moment now) {
+        return started == null || now.since(started).over(age);
+    }
+}
