--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -62,7 +62,7 @@
     private final DecayingSum[] customerArrivals;
     private final DecayingSum[] tookSum;
     private final DecayingSum[] tookCount;
-    private int open;
+    private int timely;
     private double mostUtility;
 
     private Evidence evidence;
@@ -253,12 +253,13 @@
         double share = offered == null ? 0 : standing == Standing.RELEASED || standing == Standing.WITHDRAWN
             ? settings.caps.get(0) : cap;
         trialTokens[bucket] = Math.min(settings.free, trialTokens[bucket] + share * (1 - 1e-6));
-        open++;
+        timely++;
         if (overloaded(rpc)) {
             giveUp(rpc);
             return;
         }
         // Rule 1: answered by the client's own deadline, one round before it, since a timer may come a round late.
+        host.wake(now.plus(rpc.method.softDeadline), () -> settle(rpc));
         host.wake(rpc.deadline.minus(settings.tick.times(2)), () -> {
             if (!rpc.ended && !rpc.streaming) giveUp(rpc);
         });
@@ -440,7 +441,7 @@
         Rpc rpc = pick.rpc;
         boolean ok = pick.outcome == Outcome.OK;
         if (answers) {
-            open--;
+            settle(rpc);
             if (ok) answered.add(now, 1);
         }
         if (pick.copy) copiesOut--;
@@ -461,13 +462,13 @@
     }
 
     public void clientLeft(Rpc rpc) {
-        open--;
+        settle(rpc);
         cancelOut(rpc);
     }
 
     /** The final answer once nothing more can be done; at once, so that the client can use what time it has left. */
     private void giveUp(Rpc rpc) {
-        open--;
+        settle(rpc);
         boolean harmless = firstThatMayHaveRun(rpc) == null || rpc.method.idempotent()
             || rpc.method.effect == Method.Effect.TOKENED && rpc.method.group == Method.Group.ALL;
         if (harmless) {
@@ -487,22 +488,28 @@
         }
     }
 
+    /** Ends an RPC's part in the queue: it was answered, or its soft deadline has passed. */
+    private void settle(Rpc rpc) {
+        if (!rpc.settled) timely--;
+        rpc.settled = true;
+    }
+
     /**
-     * (4) Little's law: open RPCs over answers a second is the wait a new one faces. Past a share of its soft deadline
-     * it would be answered too late, so it is pushed back unseen; RPCs of little utility first, and those of customers
-     * over their share. Guards against bursts, slow dependencies and lost units alike; harms where a pause looks like
-     * a queue, and then for as long as the pause.
+     * (4) Little's law: RPCs out and not yet late, over answers a second, is the wait that a new one faces. Past its
+     * soft deadline it would be answered too late, so it is pushed back unseen; first those of little utility and of
+     * customers over their share. Guards against bursts, slow dependencies and lost units alike. RPCs past their soft
+     * deadline do not count, so that a few stuck ones cannot keep the door shut once answers come again.
      */
     private boolean overloaded(Rpc rpc) {
         Moment now = host.now();
-        if (open <= 6) return false; // fewer say nothing about a queue
-        double waitMs = 1000.0 * open / Math.max(answered.perSecond(now), 0.5);
+        if (timely <= 10) return false; // fewer say nothing about a queue
+        double waitMs = 1000.0 * timely / Math.max(answered.perSecond(now), 0.5);
         double worth = rpc.method.utility / mostUtility;
         if (rpc.customer < customerArrivals.length) {
             double used = customerArrivals[rpc.customer].at(now) / Math.max(arrivals.at(now), 1);
             if (used > 1.3 * settings.customerShares.get(rpc.customer)) worth *= settings.overShareWorth;
         }
-        return waitMs > rpc.method.softDeadline.ms() * (0.4 + 0.5 * worth);
+        return waitMs > rpc.method.softDeadline.ms() * (0.6 + 0.6 * worth);
     }
 
     // ---- choosing a unit
@@ -701,6 +708,7 @@
             // three standard errors: one look in seven hundred by chance, and there are tens of looks a day
             if (fresh[1] / fresh[0] - earlier[1] / Math.max(earlier[0], 1) > Math.max(0.01, 3 * error)) {
                 evidence.counted = true;
+                host.log("counted " + method.index + ": " + fresh[1] + " of " + fresh[0] + " against " + earlier[1] + " of " + earlier[0]);
                 consider();
             }
         }
--- a/src/main/java/sprucerock/model/Rpc.java
+++ b/src/main/java/sprucerock/model/Rpc.java
@@ -19,7 +19,8 @@
     public boolean ended;
     public boolean streaming;
     public int out;
-    public int repeats;
+    /** No longer part of the queue that a new RPC faces. */
+    public boolean settled;
 
     public Rpc(long id, Method method, int customer, long key, Moment arrived, Moment deadline, Span hint) {
         this.id = id;
