--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -637,7 +637,7 @@
         double carried = sends.perSecond(now) * unit.weight / Math.max(warmWeight > 0 ? warmWeight : allWeight, 0.1);
         double age = Math.max(0, now.since(unit.started).per(settings.cold));
         double share = settings.startShare + (1 - settings.startShare) * Math.min(1, age);
-        double perSecond = 0.5 * settings.tipMultiple * share * carried;
+        double perSecond = Math.min(0.5 * settings.tipMultiple, 0.8) * share * carried;
         if (unit.coldAsOf == null) {
             unit.coldTokens = chance();
         } else {
@@ -660,8 +660,8 @@
         if (!freshDone || !earlierDone || fresh.outcome == null && earlier.outcome == null) return;
         pair.judged = true;
         if (trial() != fresh.unit.build || unusable(fresh) || unusable(earlier)) return;
-        boolean freshFailed = fresh.outcome != null && fresh.outcome != Outcome.OK;
-        boolean earlierFailed = earlier.outcome != null && earlier.outcome != Outcome.OK;
+        boolean freshFailed = failed(fresh);
+        boolean earlierFailed = failed(earlier);
         evidence.pairs++;
         if (freshFailed && !earlierFailed && countsAgainst(fresh.unit)) evidence.freshFailed++;
         if (earlierFailed && !freshFailed) evidence.earlierFailed++;
@@ -680,8 +680,14 @@
         consider();
     }
 
+    /** A unit that is full, out of reach or called off says nothing of its build. */
     private static boolean unusable(Pick pick) {
-        return pick.outcome == Outcome.CANCELLED || pick.outcome == Outcome.MOOT || pick.outcome == Outcome.NOT_CONNECTED;
+        return pick.outcome != null && pick.outcome.neverRan || pick.outcome == Outcome.CANCELLED;
+    }
+
+    /** A time-out is slowness, for KS to judge: under load and on hung machines it befalls good builds too. */
+    private static boolean failed(Pick pick) {
+        return pick.outcome == Outcome.ERROR || pick.outcome == Outcome.BROKEN;
     }
 
     /** One sick unit is no sick build: among three or more, one unit gives two mismatches at most. */
@@ -702,11 +708,11 @@
         counts[1] += failed;
         double[] fresh = freshCounts[method.index];
         double[] earlier = earlierCounts[method.index];
-        if (fresh[0] >= 5 && fresh[1] >= 3) {
+        if (fresh[0] >= 12 && fresh[1] >= 3) {
             double pooled = (fresh[1] + earlier[1] + 1) / (fresh[0] + earlier[0] + 2);
             double error = Math.sqrt(pooled * (1 - pooled) * (1 / fresh[0] + 1 / Math.max(earlier[0], 1)));
-            // three standard errors: one look in seven hundred by chance, and there are tens of looks a day
-            if (fresh[1] / fresh[0] - earlier[1] / Math.max(earlier[0], 1) > Math.max(0.01, 3 * error)) {
+            // 3.5 standard errors: one look in four thousand by chance, and there are tens of looks a day
+            if (fresh[1] / fresh[0] - earlier[1] / Math.max(earlier[0], 1) > Math.max(0.05, 3.5 * error)) {
                 evidence.counted = true;
                 host.log("counted " + method.index + ": " + fresh[1] + " of " + fresh[0] + " against " + earlier[1] + " of " + earlier[0]);
                 consider();
@@ -741,7 +747,11 @@
         if (offered == null || standing == Standing.GOING_BACK || standing == Standing.WITHDRAWN) return;
         Moment now = host.now();
         int lead = evidence.freshFailed - evidence.earlierFailed;
-        boolean back = lead >= 3 && lead > 0.01 * evidence.pairs || evidence.slower || evidence.counted;
+        // Where units of both builds fail, mismatches come both ways and their difference strays by about the root of
+        // their number: 1.5 of those beside the design's marks, so that three to none is still enough.
+        int mismatches = evidence.freshFailed + evidence.earlierFailed;
+        boolean failing = lead >= 3 && lead > 0.01 * evidence.pairs && lead > 1.5 * Math.sqrt(mismatches);
+        boolean back = failing || evidence.slower || evidence.counted;
         if (back) {
             vote(Verdict.BACK);
             return;
