Like with like: trial units get no more each than earlier ones, KS on like machines, counts need an own error

Cause: copies piled up on the one new unit (time-outs at 49 out), slow machine kinds were compared with fast ones, and the desk's counts hold time-outs.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -97,6 +97,7 @@
         int earlierFailed;
         int timed;
         boolean slower;
+        boolean freshErred;
         boolean counted;
         final double[] freshTook = new double[80];
         final double[] earlierTook = new double[80];
@@ -358,9 +359,9 @@
 
     private Pick send(Rpc rpc, Unit unit) {
         Moment now = host.now();
-        sends.add(now, 1);
         if (onTrial(unit.build)) trialTokens[bucket(rpc.method)]--;
-        if (!unit.olderThan(settings.cold, now)) unit.coldTokens--;
+        else sends.add(now, 1);
+        unit.coldTokens--;
         Span overdue = overdueAfter(rpc);
         boolean cut = !settings.secondCopies && !rpc.method.streamOrOnce() && rpc.picks.size() + 1 < settings.maxPicks
             && rpc.deadline.since(now).over(overdue.times(1.5));
@@ -456,6 +457,7 @@
                 pins.put(rpc.key, offered);
             }
         }
+        evidence.freshErred |= failed(pick) && offered != null && pick.unit.build.number == offered.number;
         if (pick.match instanceof Pair pair) judgeWhenComplete(pair);
         if (rpc.ended || rpc.streaming || rpc.out > 0) return;
         if (!tryAgain(rpc)) giveUp(rpc);
@@ -625,17 +627,18 @@
      * time, so that relays that learn of a unit together do not all send at once.
      */
     private boolean coldRoom(Unit unit, Moment now) {
-        if (unit.olderThan(settings.cold, now)) return true;
+        boolean trial = onTrial(unit.build);
+        if (!trial && unit.olderThan(settings.cold, now)) return true;
         double warmWeight = 0;
         double allWeight = 0;
         for (Build build : builds.values()) {
             for (Unit other : build.units) {
                 allWeight += other.weight;
-                if (other.olderThan(settings.cold, now)) warmWeight += other.weight;
+                if (!onTrial(build) && other.olderThan(settings.cold, now)) warmWeight += other.weight;
             }
         }
         double carried = sends.perSecond(now) * unit.weight / Math.max(warmWeight > 0 ? warmWeight : allWeight, 0.1);
-        double age = Math.max(0, now.since(unit.started).per(settings.cold));
+        double age = Math.max(0, unit.started == null ? 1 : now.since(unit.started).per(settings.cold));
         double share = settings.startShare + (1 - settings.startShare) * Math.min(1, age);
         double perSecond = Math.min(0.5 * settings.tipMultiple, 0.8) * share * carried;
         if (unit.coldAsOf == null) {
@@ -667,7 +670,7 @@
         if (earlierFailed && !freshFailed) evidence.earlierFailed++;
         Moment now = host.now();
         Span settled = Span.ofMs(5000); // the design's age, under which copies look slow for being cold
-        if (!freshFailed && !earlierFailed && fresh.unit.olderThan(settled, now)
+        if (!freshFailed && !earlierFailed && fresh.unit.kind == earlier.unit.kind && fresh.unit.olderThan(settled, now)
             && earlier.unit.olderThan(settled, now) && evidence.timed < evidence.freshTook.length) {
             evidence.freshTook[evidence.timed] = tookOf(fresh, now);
             evidence.earlierTook[evidence.timed] = tookOf(earlier, now);
@@ -708,7 +711,7 @@
         counts[1] += failed;
         double[] fresh = freshCounts[method.index];
         double[] earlier = earlierCounts[method.index];
-        if (fresh[0] >= 12 && fresh[1] >= 3) {
+        if (fresh[0] >= 12 && fresh[1] >= 3 && evidence.freshErred) {
             double pooled = (fresh[1] + earlier[1] + 1) / (fresh[0] + earlier[0] + 2);
             double error = Math.sqrt(pooled * (1 - pooled) * (1 / fresh[0] + 1 / Math.max(earlier[0], 1)));
             // 3.5 standard errors: one look in four thousand by chance, and there are tens of looks a day
