--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -443,7 +443,7 @@
         boolean ok = pick.outcome == Outcome.OK;
         if (answers) {
             settle(rpc);
-            if (ok && rpc.method.softDeadline.over(now.since(rpc.arrived))) answered.add(now, 1);
+            if (ok) answered.add(now, 1);
         }
         if (pick.copy) copiesOut--;
         if (pick.outcome != Outcome.CANCELLED && pick.outcome != Outcome.MOOT) {
@@ -497,15 +497,14 @@
     }
 
     /**
-     * (4) Little's law: RPCs out and not yet late, over answers in time a second, is the wait that a new one faces. Past its
+     * (4) Little's law: RPCs out and not yet late, over answers a second, is the wait that a new one faces. Past its
      * soft deadline it would be answered too late, so it is pushed back unseen; first those of little utility and of
      * customers over their share. Guards against bursts, slow dependencies and lost units alike. RPCs past their soft
      * deadline do not count, so that a few stuck ones cannot keep the door shut once answers come again.
      */
     private boolean overloaded(Rpc rpc) {
         Moment now = host.now();
-        if (timely <= 4) return false; // a few keep going even when nothing comes back in time, to show when it does again
-        double waitMs = 1000.0 * timely / Math.max(answered.perSecond(now), 0.5);
+        double waitMs = 1000.0 * (timely - 3) / Math.max(answered.perSecond(now), 0.5); // three more or less is chance
         double worth = rpc.method.utility / mostUtility;
         if (rpc.customer < customerArrivals.length) {
             double used = customerArrivals[rpc.customer].at(now) / Math.max(arrivals.at(now), 1);
