--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -510,7 +510,7 @@
             double used = customerArrivals[rpc.customer].at(now) / Math.max(arrivals.at(now), 1);
             if (used > 1.3 * settings.customerShares.get(rpc.customer)) worth *= settings.overShareWorth;
         }
-        return waitMs > rpc.method.softDeadline.ms() * (0.25 + 0.3 * worth);
+        return waitMs > rpc.method.softDeadline.ms() * (0.4 + 0.35 * worth);
     }
 
     // ---- choosing a unit
