--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -98,6 +98,8 @@
         int timed;
         boolean slower;
         boolean freshErred;
+        int errors;
+        int ended;
         boolean counted;
         final double[] freshTook = new double[80];
         final double[] earlierTook = new double[80];
@@ -116,13 +118,20 @@
     /** The earlier build beside itself: how slow it is now against how it was before the step. */
     private final DecayingSum slowNow = new DecayingSum(Span.ofMs(2000));
     private final DecayingSum slowNowCount = new DecayingSum(Span.ofMs(2000));
+    private final double[] before;
+    private double arrivalsBefore;
     private Moment slowSince;
+    private Moment pausedAt;
+    private Moment resumedAt;
+    private boolean excused;
+    private boolean blamed;
 
     public Policy(Host host, Settings settings, long seed) {
         this.host = host;
         this.settings = settings;
         for (int i = 0; i < 8; i++) dice[i] = (byte) (seed >>> 8 * i);
         int methods = settings.methods.size();
+        before = new double[methods];
         trialTokens = new double[settings.perMethod ? methods : 1];
         Arrays.fill(trialTokens, settings.free);
         customerArrivals = sums(settings.customerShares.size(), 5000);
@@ -189,6 +198,12 @@
             for (double[] counts : freshCounts) Arrays.fill(counts, 0);
             for (double[] counts : earlierCounts) Arrays.fill(counts, 0);
             pins.clear();
+            for (Method method : settings.methods) before[method.index] = usualMs(method);
+            arrivalsBefore = arrivals.perSecond(host.now());
+            pausedAt = null;
+            resumedAt = null;
+            excused = false;
+            blamed = false;
         }
         if (newBuild || newStage != stage || newStanding != standing) {
             evidence = new Evidence();
@@ -196,7 +211,6 @@
             castAt = null;
             castPending = false;
             pinnedShare = newBuild ? 0 : pinnedShare;
-            slowSince = null;
             for (Unit unit : build.units) unit.excess = 0;
             stageSince = since;
         }
@@ -322,12 +336,12 @@
     /** The design's conditions for a copy: cap, retry budget, pick limit, breaker; and room for the key it may pin. */
     private boolean mayCopy(Rpc rpc, Build trial) {
         double spare = settings.oneWayKeys ? 2 : 1; // where keys get pinned, one token stays for a pinned key's RPC
-        return copiesOut < 8 && rpc.picks.size() < settings.maxPicks && mayTry(trial, rpc.method, Math.min(spare,
+        return pausedAt == null && copiesOut < 8 && rpc.picks.size() < settings.maxPicks && mayTry(trial, rpc.method, Math.min(spare,
             settings.free)) && budgetHasRoom() && pinFits(rpc, trial);
     }
 
     private boolean maySingle(Rpc rpc, Build trial) {
-        if (!mayTry(trial, rpc.method, 1) || copiesOut >= 8 || pins.containsKey(rpc.key)) return false;
+        if (pausedAt != null || !mayTry(trial, rpc.method, 1) || copiesOut >= 8 || pins.containsKey(rpc.key)) return false;
         if (rpc.method.idempotent()) {
             // every other RPC of a method, at most, so that each has its like at the earlier build
             return !settings.secondCopies && evidence.waiting.get(rpc.method.index).isEmpty() && pinFits(rpc, trial);
@@ -393,6 +407,7 @@
         if (pick.outcome != null) return;
         pick.overdue = true;
         note(pick.unit, false);
+        learnPace(pick, host.now().since(pick.sent));
         if (pick.match instanceof Pair pair) judgeWhenComplete(pair);
         Rpc rpc = pick.rpc;
         if (rpc.ended || rpc.streaming || !settings.secondCopies || rpc.out > 1) return;
@@ -450,13 +465,20 @@
             if (ok || !pick.overdue) note(pick.unit, ok);
         }
         if (ok) {
-            learnPace(pick);
+            learnPace(pick, pick.took);
             if (settings.oneWayKeys && rpc.key != 0 && offered != null && pick.unit.build.number == offered.number
                 && (standing == Standing.ON_TRIAL || standing == Standing.RELEASED)
                 && !builds.isEmpty() && builds.firstKey() < offered.number) {
                 pins.put(rpc.key, offered);
             }
         }
+        if (standing == Standing.RELEASED && pick.unit.build == offered) {
+            evidence.ended++;
+            if (failed(pick)) {
+                evidence.errors++;
+                pick.unit.excess++;
+            }
+        }
         evidence.freshErred |= failed(pick) && offered != null && pick.unit.build.number == offered.number;
         if (pick.match instanceof Pair pair) judgeWhenComplete(pair);
         if (rpc.ended || rpc.streaming || rpc.out > 0) return;
@@ -510,7 +532,7 @@
             double used = customerArrivals[rpc.customer].at(now) / Math.max(arrivals.at(now), 1);
             if (used > 1.3 * settings.customerShares.get(rpc.customer)) worth *= settings.overShareWorth;
         }
-        return waitMs > rpc.method.softDeadline.ms() * (0.4 + 0.35 * worth);
+        return waitMs > rpc.method.softDeadline.ms() * (0.25 + 0.3 * worth);
     }
 
     // ---- choosing a unit
@@ -601,19 +623,20 @@
         if (!before && sick(unit) || unit.retryAt == null) unit.retryAt = host.now().plus(Span.ofMs(1000));
     }
 
-    /** Learns the method's usual time, the unit's pace beside it, and the earlier build's pace beside its past. */
-    private void learnPace(Pick pick) {
+    /** Learns the method's usual time, the unit's pace beside it, and the pace now beside the one before the offer. */
+    private void learnPace(Pick pick, Span took) {
         Moment now = host.now();
         Method method = pick.rpc.method;
-        double ratio = pick.took.ms() / Math.max(usualMs(method), 1);
+        double ratio = took.ms() / Math.max(usualMs(method), 1);
         pick.unit.slowness.add(now, Math.min(ratio, 8));
         pick.unit.answers.add(now, 1);
-        if (trial() == null) {
-            tookSum[method.index].add(now, pick.took.ms());
+        if (offered == null || !onTrial(pick.unit.build)) {
+            tookSum[method.index].add(now, took.ms());
             tookCount[method.index].add(now, 1);
-        } else if (!onTrial(pick.unit.build)) {
-            slowNow.add(now, Math.min(ratio, 8));
-            slowNowCount.add(now, 1);
+            if (offered != null) {
+                slowNow.add(now, Math.min(took.ms() / Math.max(before[method.index], 1), 8));
+                slowNowCount.add(now, 1);
+            }
         }
     }
 
@@ -753,24 +776,78 @@
         // their number: 1.5 of those beside the design's marks, so that three to none is still enough.
         int mismatches = evidence.freshFailed + evidence.earlierFailed;
         boolean failing = lead >= 3 && lead > 0.01 * evidence.pairs && lead > 1.5 * Math.sqrt(mismatches);
-        boolean back = failing || evidence.slower || evidence.counted;
+        watchPace(now);
+        boolean back = failing || evidence.slower || evidence.counted || blamed || failsAfterRelease(now);
         if (back) {
             vote(Verdict.BACK);
             return;
         }
         if (standing != Standing.ON_TRIAL) return;
-        boolean slow = slowNowCount.at(now) >= 5 && slowNow.at(now) > 1.5 * slowNowCount.at(now);
-        if (!slow) slowSince = null;
-        else if (slowSince == null) slowSince = now;
-        boolean wait = slow && Span.ofMs(6000).over(now.since(slowSince));
-        boolean aged = stageAge(now).over(Span.ofMs(3000));
-        if ((evidence.pairs >= 20 || aged) && lead <= 0 && !wait) {
+        int enough = settings.control == Settings.Control.CLOCKED ? 0 : 5;
+        boolean aged = stageAge(now).over(Span.ofMs(evidence.pairs >= enough ? 3000 : 5000));
+        if ((evidence.pairs >= 20 || aged) && lead <= 0 && !doubt(now)) {
             if (settings.control != Settings.Control.CLOCKED) vote(Verdict.ON);
-        } else if (settings.control == Settings.Control.CLOCKED && (lead > 0 || wait)) {
+        } else if (settings.control == Settings.Control.CLOCKED && (lead > 0 || doubt(now))) {
             vote(Verdict.HOLD);
         }
     }
 
+    /** How slow the units off trial are, beside what they were before the offer; 1 where too little is known. */
+    private double pace(Moment now) {
+        return slowNowCount.at(now) < 6 ? 1 : slowNow.at(now) / slowNowCount.at(now);
+    }
+
+    /**
+     * (6) A build may slow old and new units alike, and then every pair matches. So where the earlier build runs slower
+     * than before the offer, the copies stop for a while: if the pace comes back, and goes again as the copies do, the
+     * slowdown follows exposure and the build is to blame; if it does not come back, something else is, and the build
+     * is excused until the pace is good again. All relays see the same slowdown, so they stop together unasked.
+     * Guards also against a build that starves a shared dependency; harms where an outside slowdown comes in step.
+     */
+    private void watchPace(Moment now) {
+        if (standing != Standing.ON_TRIAL) return;
+        double pace = pace(now);
+        if (pace < 1.25) {
+            slowSince = null;
+            excused = false;
+            if (pausedAt != null && now.since(pausedAt).over(Span.ofMs(500))) {
+                pausedAt = null;
+                resumedAt = now;
+            }
+        } else if (pace > 1.5 && slowSince == null) {
+            slowSince = now;
+        }
+        if (pausedAt == null && !excused && slowSince != null && now.since(slowSince).over(Span.ofMs(700))) {
+            if (resumedAt != null && Span.ofMs(8000).over(now.since(resumedAt))) blamed = true;
+            pausedAt = now;
+            host.log("pause: pace " + pace + (blamed ? ", blamed" : ""));
+        }
+        if (pausedAt != null && now.since(pausedAt).over(Span.ofMs(5000))) {
+            pausedAt = null; // five seconds: twice what queues of a soft deadline need to drain
+            excused = true;
+            host.log("excused: pace " + pace);
+        }
+    }
+
+    private boolean doubt(Moment now) {
+        return pausedAt != null || slowSince != null && !excused
+            || resumedAt != null && Span.ofMs(3000).over(now.since(resumedAt));
+    }
+
+    /** After the release, for twelve seconds: failures on many units, or a pace gone for long without more traffic. */
+    private boolean failsAfterRelease(Moment now) {
+        if (standing != Standing.RELEASED || now.since(stageSince).over(Span.ofMs(12000))) return false;
+        int erring = 0;
+        for (Unit unit : offered.units) erring += unit.excess > 0 ? 1 : 0;
+        boolean errors = evidence.errors >= 5 && evidence.errors > 0.02 * evidence.ended
+            && erring >= 0.4 * Math.min(offered.units.size(), evidence.errors);
+        if (pace(now) < 1.8) slowSince = null;
+        else if (slowSince == null) slowSince = now;
+        boolean slow = slowSince != null && now.since(slowSince).over(Span.ofMs(4000))
+            && arrivals.perSecond(now) < 1.3 * arrivalsBefore;
+        return errors || slow;
+    }
+
     /** By the start times in the list; a stage whose new units are not listed yet has no age, up to eight seconds. */
     private Span stageAge(Moment now) {
         Span known = now.since(stageSince);
@@ -793,7 +870,7 @@
         } else {
             host.log("vote " + verdict + " on " + offered.number + " at stage " + stage + ": pairs " + evidence.pairs
                 + ", failed " + evidence.freshFailed + " against " + evidence.earlierFailed + ", timed " + evidence.timed
-                + (evidence.slower ? ", slower" : "") + (evidence.counted ? ", counted" : ""));
+                + (evidence.slower ? ", slower" : "") + (blamed ? ", blamed" : "") + ", pace " + pace(now) + ", errors " + evidence.errors + " of " + evidence.ended + (evidence.counted ? ", counted" : ""));
         }
         cast = verdict;
         castAt = now;
