--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -116,9 +116,10 @@
     private double[][] earlierCounts;
 
     /** The earlier build beside itself: how slow it is now against how it was before the step. */
-    private final DecayingSum slowNow = new DecayingSum(Span.ofMs(2000));
-    private final DecayingSum slowNowCount = new DecayingSum(Span.ofMs(2000));
-    private final double[] before;
+    private final DecayingSum slowNow = new DecayingSum(Span.ofMs(3000));
+    private final DecayingSum slowNowCount = new DecayingSum(Span.ofMs(3000));
+    private final double[] logBefore;
+    private final double[] logCount;
     private double arrivalsBefore;
     private Moment slowSince;
     private Moment pausedAt;
@@ -131,7 +132,8 @@
         this.settings = settings;
         for (int i = 0; i < 8; i++) dice[i] = (byte) (seed >>> 8 * i);
         int methods = settings.methods.size();
-        before = new double[methods];
+        logBefore = new double[methods];
+        logCount = new double[methods];
         trialTokens = new double[settings.perMethod ? methods : 1];
         Arrays.fill(trialTokens, settings.free);
         customerArrivals = sums(settings.customerShares.size(), 5000);
@@ -198,7 +200,6 @@
             for (double[] counts : freshCounts) Arrays.fill(counts, 0);
             for (double[] counts : earlierCounts) Arrays.fill(counts, 0);
             pins.clear();
-            for (Method method : settings.methods) before[method.index] = usualMs(method);
             arrivalsBefore = arrivals.perSecond(host.now());
             pausedAt = null;
             resumedAt = null;
@@ -407,7 +408,8 @@
         if (pick.outcome != null) return;
         pick.overdue = true;
         note(pick.unit, false);
-        learnPace(pick, host.now().since(pick.sent));
+        pick.unit.slowness.add(host.now(), 3);
+        pick.unit.answers.add(host.now(), 1);
         if (pick.match instanceof Pair pair) judgeWhenComplete(pair);
         Rpc rpc = pick.rpc;
         if (rpc.ended || rpc.streaming || !settings.secondCopies || rpc.out > 1) return;
@@ -465,7 +467,7 @@
             if (ok || !pick.overdue) note(pick.unit, ok);
         }
         if (ok) {
-            learnPace(pick, pick.took);
+            learnPace(pick);
             if (settings.oneWayKeys && rpc.key != 0 && offered != null && pick.unit.build.number == offered.number
                 && (standing == Standing.ON_TRIAL || standing == Standing.RELEASED)
                 && !builds.isEmpty() && builds.firstKey() < offered.number) {
@@ -624,19 +626,23 @@
     }
 
     /** Learns the method's usual time, the unit's pace beside it, and the pace now beside the one before the offer. */
-    private void learnPace(Pick pick, Span took) {
+    private void learnPace(Pick pick) {
         Moment now = host.now();
-        Method method = pick.rpc.method;
-        double ratio = took.ms() / Math.max(usualMs(method), 1);
-        pick.unit.slowness.add(now, Math.min(ratio, 8));
+        int method = pick.rpc.method.index;
+        double ms = Math.max(pick.took.ms(), 1);
+        pick.unit.slowness.add(now, Math.min(ms / usualMs(pick.rpc.method), 8));
         pick.unit.answers.add(now, 1);
-        if (offered == null || !onTrial(pick.unit.build)) {
-            tookSum[method.index].add(now, took.ms());
-            tookCount[method.index].add(now, 1);
-            if (offered != null) {
-                slowNow.add(now, Math.min(took.ms() / Math.max(before[method.index], 1), 8));
-                slowNowCount.add(now, 1);
-            }
+        if (offered != null && onTrial(pick.unit.build)) return;
+        tookSum[method].add(now, ms);
+        tookCount[method].add(now, 1);
+        double work = pick.rpc.hint == null ? 1 : Math.max(pick.rpc.hint.ms(), 1);
+        boolean fresh = offered != null && pick.unit.build == offered;
+        if (stageSince == null || !fresh && standing != Standing.ON_TRIAL) {
+            logBefore[method] += Math.log(ms / work);
+            logCount[method]++;
+        } else if (logCount[method] >= 5) {
+            slowNow.add(now, Math.log(ms / work) - logBefore[method] / logCount[method]);
+            slowNowCount.add(now, 1);
         }
     }
 
@@ -792,9 +798,15 @@
         }
     }
 
-    /** How slow the units off trial are, beside what they were before the offer; 1 where too little is known. */
+    /** How slow the units off trial are, as a mean of logarithms beside before the offer: tails count for little. */
     private double pace(Moment now) {
-        return slowNowCount.at(now) < 6 ? 1 : slowNow.at(now) / slowNowCount.at(now);
+        return slowNow.at(now) / Math.max(slowNowCount.at(now), 1);
+    }
+
+    /** Slower than before by over a third and by three times what chance gives (logarithms of times stray by 0.9). */
+    private boolean slowed(Moment now) {
+        double count = slowNowCount.at(now);
+        return count >= 5 && pace(now) > Math.max(0.3, 2.7 / Math.sqrt(count));
     }
 
     /**
@@ -806,26 +818,25 @@
      */
     private void watchPace(Moment now) {
         if (standing != Standing.ON_TRIAL) return;
-        double pace = pace(now);
-        if (pace < 1.25) {
+        if (pace(now) < 0.2) {
             slowSince = null;
             excused = false;
             if (pausedAt != null && now.since(pausedAt).over(Span.ofMs(500))) {
                 pausedAt = null;
                 resumedAt = now;
             }
-        } else if (pace > 1.5 && slowSince == null) {
+        } else if (slowSince == null && slowed(now)) {
             slowSince = now;
         }
         if (pausedAt == null && !excused && slowSince != null && now.since(slowSince).over(Span.ofMs(700))) {
             if (resumedAt != null && Span.ofMs(8000).over(now.since(resumedAt))) blamed = true;
             pausedAt = now;
-            host.log("pause: pace " + pace + (blamed ? ", blamed" : ""));
+            host.log("pause: pace " + pace(now) + (blamed ? ", blamed" : ""));
         }
         if (pausedAt != null && now.since(pausedAt).over(Span.ofMs(5000))) {
             pausedAt = null; // five seconds: twice what queues of a soft deadline need to drain
             excused = true;
-            host.log("excused: pace " + pace);
+            host.log("excused: pace " + pace(now));
         }
     }
 
@@ -840,8 +851,8 @@
         int erring = 0;
         for (Unit unit : offered.units) erring += unit.excess > 0 ? 1 : 0;
         boolean errors = evidence.errors >= 5 && evidence.errors > 0.02 * evidence.ended
-            && erring >= 0.4 * Math.min(offered.units.size(), evidence.errors);
-        if (pace(now) < 1.8) slowSince = null;
+            && erring >= Math.max(3, 0.4 * offered.units.size());
+        if (pace(now) < 0.6 || !slowed(now)) slowSince = null;
         else if (slowSince == null) slowSince = now;
         boolean slow = slowSince != null && now.since(slowSince).over(Span.ofMs(4000))
             && arrivals.perSecond(now) < 1.3 * arrivalsBefore;
