--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -120,7 +120,6 @@
     private final DecayingSum slowNowCount = new DecayingSum(Span.ofMs(3000));
     private final double[] logBefore;
     private final double[] logCount;
-    private double arrivalsBefore;
     private Moment slowSince;
     private Moment pausedAt;
     private Moment resumedAt;
@@ -200,7 +199,6 @@
             for (double[] counts : freshCounts) Arrays.fill(counts, 0);
             for (double[] counts : earlierCounts) Arrays.fill(counts, 0);
             pins.clear();
-            arrivalsBefore = arrivals.perSecond(host.now());
             pausedAt = null;
             resumedAt = null;
             excused = false;
@@ -777,6 +775,7 @@
     private void consider() {
         if (offered == null || standing == Standing.GOING_BACK || standing == Standing.WITHDRAWN) return;
         Moment now = host.now();
+        if (standing == Standing.RELEASED && now.since(stageSince).over(Span.ofMs(15000))) return; // watched no longer
         int lead = evidence.freshFailed - evidence.earlierFailed;
         // Where units of both builds fail, mismatches come both ways and their difference strays by about the root of
         // their number: 1.5 of those beside the design's marks, so that three to none is still enough.
@@ -789,9 +788,13 @@
             return;
         }
         if (standing != Standing.ON_TRIAL) return;
-        int enough = settings.control == Settings.Control.CLOCKED ? 0 : 5;
-        boolean aged = stageAge(now).over(Span.ofMs(evidence.pairs >= enough ? 3000 : 5000));
-        if ((evidence.pairs >= 20 || aged) && lead <= 0 && !doubt(now)) {
+        // Where one vote moves the stage, relays that saw little leave it to the others for two seconds more, and the
+        // last stage, which lets all traffic go, waits for a KS test to have been made, or three seconds more.
+        boolean single = settings.control == Settings.Control.SINGLE;
+        boolean last = stage == settings.caps.size() - 1 && evidence.timed < 20;
+        double fallback = !single ? 3000 : last ? 6000 : evidence.pairs < 5 ? 5000 : 3000;
+        boolean aged = stageAge(now).over(Span.ofMs(fallback));
+        if ((evidence.pairs >= 20 && !(single && last) || aged) && lead <= 0 && !doubt(now)) {
             if (settings.control != Settings.Control.CLOCKED) vote(Verdict.ON);
         } else if (settings.control == Settings.Control.CLOCKED && (lead > 0 || doubt(now))) {
             vote(Verdict.HOLD);
@@ -845,18 +848,16 @@
             || resumedAt != null && Span.ofMs(3000).over(now.since(resumedAt));
     }
 
-    /** After the release, for twelve seconds: failures on many units, or a pace gone for long without more traffic. */
+    /** After the release: failures on many units, or a pace that is gone for longer than most bursts last. */
     private boolean failsAfterRelease(Moment now) {
-        if (standing != Standing.RELEASED || now.since(stageSince).over(Span.ofMs(12000))) return false;
+        if (standing != Standing.RELEASED) return false;
         int erring = 0;
         for (Unit unit : offered.units) erring += unit.excess > 0 ? 1 : 0;
         boolean errors = evidence.errors >= 5 && evidence.errors > 0.02 * evidence.ended
             && erring >= Math.max(3, 0.4 * offered.units.size());
         if (pace(now) < 0.6 || !slowed(now)) slowSince = null;
         else if (slowSince == null) slowSince = now;
-        boolean slow = slowSince != null && now.since(slowSince).over(Span.ofMs(4000))
-            && arrivals.perSecond(now) < 1.3 * arrivalsBefore;
-        return errors || slow;
+        return errors || slowSince != null && now.since(slowSince).over(Span.ofMs(6000));
     }
 
     /** By the start times in the list; a stage whose new units are not listed yet has no age, up to eight seconds. */
