--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -97,9 +97,9 @@
         int earlierFailed;
         int timed;
         boolean slower;
-        boolean freshErred;
         int errors;
         int ended;
+        int told;
         boolean counted;
         final double[] freshTook = new double[80];
         final double[] earlierTook = new double[80];
@@ -125,6 +125,10 @@
     private Moment resumedAt;
     private boolean excused;
     private boolean blamed;
+    private boolean freshErred;
+    /** What peers said of their pairs, each its latest: build, stage, pairs, failures of fresh and of earlier picks. */
+    private final TreeMap<Integer, byte[]> peers = new TreeMap<>();
+    private Moment lastTold;
 
     public Policy(Host host, Settings settings, long seed) {
         this.host = host;
@@ -203,6 +207,8 @@
             resumedAt = null;
             excused = false;
             blamed = false;
+            freshErred = false;
+            peers.clear();
         }
         if (newBuild || newStage != stage || newStanding != standing) {
             evidence = new Evidence();
@@ -479,7 +485,7 @@
                 pick.unit.excess++;
             }
         }
-        evidence.freshErred |= failed(pick) && offered != null && pick.unit.build.number == offered.number;
+        freshErred |= failed(pick) && offered != null && pick.unit.build.number == offered.number;
         if (pick.match instanceof Pair pair) judgeWhenComplete(pair);
         if (rpc.ended || rpc.streaming || rpc.out > 0) return;
         if (!tryAgain(rpc)) giveUp(rpc);
@@ -529,8 +535,11 @@
         double waitMs = 1000.0 * (timely - 3) / Math.max(answered.perSecond(now), 0.5); // three more or less is chance
         double worth = rpc.method.utility / mostUtility;
         if (rpc.customer < customerArrivals.length) {
-            double used = customerArrivals[rpc.customer].at(now) / Math.max(arrivals.at(now), 1);
-            if (used > 1.3 * settings.customerShares.get(rpc.customer)) worth *= settings.overShareWorth;
+            double share = settings.customerShares.get(rpc.customer);
+            double own = customerArrivals[rpc.customer].at(now);
+            double fair = (arrivals.at(now) - own) * share / Math.max(1 - share, 0.01);
+            // beside what the others send: of a customer at thrice its share, two RPCs in three are over it
+            if (own > 1.2 * fair && chance() > fair / own) worth *= settings.overShareWorth;
         }
         return waitMs > rpc.method.softDeadline.ms() * (0.25 + 0.3 * worth);
     }
@@ -737,7 +746,7 @@
         counts[1] += failed;
         double[] fresh = freshCounts[method.index];
         double[] earlier = earlierCounts[method.index];
-        if (fresh[0] >= 12 && fresh[1] >= 3 && evidence.freshErred) {
+        if (fresh[0] >= 12 && fresh[1] >= 3 && freshErred) {
             double pooled = (fresh[1] + earlier[1] + 1) / (fresh[0] + earlier[0] + 2);
             double error = Math.sqrt(pooled * (1 - pooled) * (1 / fresh[0] + 1 / Math.max(earlier[0], 1)));
             // 3.5 standard errors: one look in four thousand by chance, and there are tens of looks a day
@@ -769,18 +778,46 @@
             host.subscribe();
         }
         consider();
+        tellPeers(now);
         host.wake(now.plus(Span.ofMs(100)), this::look); // well under a stage's shortest time
     }
 
+    /**
+     * Relays with few pairs see little alone: where peers may be told, each passes on what its pairs showed in the
+     * stage, a few bytes each time that it changed and twice a second at most, and all add it up.
+     */
+    private void tellPeers(Moment now) {
+        if (!settings.peers || standing != Standing.ON_TRIAL || evidence.pairs == evidence.told) return;
+        if (lastTold != null && Span.ofMs(500).over(now.since(lastTold))) return;
+        lastTold = now;
+        evidence.told = evidence.pairs;
+        host.tellPeers(new byte[] {(byte) offered.number, (byte) stage, (byte) Math.min(evidence.pairs, 255),
+            (byte) Math.min(evidence.freshFailed, 255), (byte) Math.min(evidence.earlierFailed, 255)});
+    }
+
+    public void peerTold(int sender, byte[] contents) {
+        if (contents.length == 5) peers.put(sender, contents);
+        consider();
+    }
+
     private void consider() {
         if (offered == null || standing == Standing.GOING_BACK || standing == Standing.WITHDRAWN) return;
         Moment now = host.now();
         if (standing == Standing.RELEASED && now.since(stageSince).over(Span.ofMs(15000))) return; // watched no longer
-        int lead = evidence.freshFailed - evidence.earlierFailed;
+        int pairs = evidence.pairs;
+        int freshFailed = evidence.freshFailed;
+        int earlierFailed = evidence.earlierFailed;
+        for (byte[] told : peers.values()) {
+            if (told[0] != (byte) offered.number || told[1] != (byte) stage) continue;
+            pairs += told[2] & 0xff;
+            freshFailed += told[3] & 0xff;
+            earlierFailed += told[4] & 0xff;
+        }
+        int lead = freshFailed - earlierFailed;
         // Where units of both builds fail, mismatches come both ways and their difference strays by about the root of
         // their number: 1.5 of those beside the design's marks, so that three to none is still enough.
-        int mismatches = evidence.freshFailed + evidence.earlierFailed;
-        boolean failing = lead >= 3 && lead > 0.01 * evidence.pairs && lead > 1.5 * Math.sqrt(mismatches);
+        int mismatches = freshFailed + earlierFailed;
+        boolean failing = lead >= 3 && lead > 0.01 * pairs && lead > 1.5 * Math.sqrt(mismatches);
         watchPace(now);
         boolean back = failing || evidence.slower || evidence.counted || blamed || failsAfterRelease(now);
         if (back) {
--- a/src/main/java/sprucerock/host/Host.java
+++ b/src/main/java/sprucerock/host/Host.java
@@ -35,6 +35,9 @@
 
     void vote(Build build, int stage, Verdict verdict);
 
+    /** A short message to every other relay; it may come late or never. */
+    void tellPeers(byte[] contents);
+
     void subscribe();
 
     void fetchUnits();
--- a/src/main/java/sprucerock/model/Settings.java
+++ b/src/main/java/sprucerock/model/Settings.java
@@ -27,6 +27,7 @@
     public final int maxPicks;
     public final boolean secondCopies;
     public final boolean cancel;
+    public final boolean peers;
     public final boolean retryAfter;
     public final Span maxRetryAfter;
     public final Control control;
@@ -64,6 +65,7 @@
         maxPicks = (int) number("permissions.send_cap");
         secondCopies = text("permissions.second_copies").equals("true");
         cancel = text("permissions.cancel").equals("true");
+        peers = text("permissions.peers").equals("true");
         retryAfter = text("permissions.retry_after").equals("true");
         maxRetryAfter = span("permissions.max_retry_after");
         control = switch (text("specifics.vote_mode")) {
--- a/src/main/java/sprucerock/sim/Relay.java
+++ b/src/main/java/sprucerock/sim/Relay.java
@@ -198,10 +198,10 @@
     }
 
     private Runnable note(ByteBuffer f) {
-        f.getInt();
+        int sender = f.getInt();
         byte[] contents = new byte[Simhost.count(f, f.getShort() & 0xffff, 1)];
         f.get(contents);
-        return () -> {};
+        return () -> policy.peerTold(sender, contents);
     }
 
     private Runnable news(ByteBuffer f) {
@@ -355,6 +355,11 @@
         open(130).u16(build.number).u8(stage).u8(code).close();
     }
 
+    @Override
+    public void tellPeers(byte[] contents) {
+        open(80).u16(0xffff).bytes(contents).close();
+    }
+
     @Override
     public void subscribe() {
         open(110).u8(1).close();
