--- a/src/main/java/sprucerock/model/Method.java
+++ b/src/main/java/sprucerock/model/Method.java
@@ -1,5 +1,6 @@
 package sprucerock.model;
 
+import sprucerock.stats.DecayingMean;
 import sprucerock.time.Span;
 
 /** A kind of RPC, as the start settings state it. */
@@ -16,6 +17,13 @@
     public final double utility;
     public final boolean stream;
 
+    /** What the module notes: how long picks took of late, and the logarithms of all times before an offer. */
+    public DecayingMean took;
+    public double logBefore;
+    public int logCount;
+    /** Picks that may go to a build on trial. */
+    public double trialTokens;
+
     public Method(int index, Effect effect, Group group, Span softDeadline, Span window, double utility,
         boolean stream) {
         this.index = index;
--- /dev/null
+++ b/src/main/java/sprucerock/model/Offer.java
@@ -0,0 +1,38 @@
+package sprucerock.model;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import sprucerock.time.Moment;
+
+/** What one relay knows of the build that the release desk offered last. */
+public final class Offer {
+    public final Build build;
+    public int stage;
+    public Moment since;
+    /** What this relay saw in the present stage. */
+    public Evidence evidence;
+    /** An error came back from the build. */
+    public boolean erred;
+    /** What the release desk counted, by method: picks and failures at this build, and at earlier ones. */
+    public final double[][] freshCounts;
+    public final double[][] earlierCounts;
+    /** What peers said of their pairs, each its latest. */
+    public final Map<Integer, byte[]> peers = new TreeMap<>();
+    public Moment told;
+    /** Since when the units off trial are slow; when the copies stopped for it, and when they went on. */
+    public Moment slowSince;
+    public Moment pausedAt;
+    public Moment resumedAt;
+    public boolean excused;
+    public boolean blamed;
+    /** Keys that the build has answered here, and the share of the traffic that these were seen to have. */
+    public final Map<Long, Build> pins = new HashMap<>();
+    public double pinnedShare;
+
+    public Offer(Build build, int methods) {
+        this.build = build;
+        freshCounts = new double[methods][2];
+        earlierCounts = new double[methods][2];
+    }
+}
--- a/src/main/java/sprucerock/model/Pick.java
+++ b/src/main/java/sprucerock/model/Pick.java
@@ -15,7 +15,7 @@
     public Span took;
     public boolean overdue;
     public boolean copy;
-    public Object match;
+    public Pair pair;
 
     public Pick(Rpc rpc, Unit unit, Moment sent, Span patience) {
         this.rpc = rpc;
@@ -28,4 +28,9 @@
     public boolean mayHaveRun() {
         return outcome == null || !outcome.neverRan;
     }
+
+    /** The unit answered with an error or broke off: no time-out, no full or missing unit. */
+    public boolean erred() {
+        return outcome == Outcome.ERROR || outcome == Outcome.BROKEN;
+    }
 }
--- a/src/main/java/sprucerock/model/Rpc.java
+++ b/src/main/java/sprucerock/model/Rpc.java
@@ -31,4 +31,19 @@
         this.deadline = deadline;
         this.hint = hint;
     }
+
+    /** The first pick that may have taken effect; null where none may. */
+    public Pick firstThatMayHaveRun() {
+        for (Pick pick : picks) {
+            if (pick.mayHaveRun()) return pick;
+        }
+        return null;
+    }
+
+    public boolean triedAt(Unit unit) {
+        for (Pick pick : picks) {
+            if (pick.unit == unit) return true;
+        }
+        return false;
+    }
 }
--- a/src/main/java/sprucerock/model/Settings.java
+++ b/src/main/java/sprucerock/model/Settings.java
@@ -11,11 +11,9 @@
 public final class Settings {
     public enum Control { SINGLE, MAJORITY, CLOCKED }
 
-    public final int relays;
     public final int zone;
     public final List<Method> methods;
     public final List<Double> customerShares;
-    public final boolean byWork;
     public final double overShareWorth;
     public final Span tick;
     public final boolean ask;
@@ -38,7 +36,6 @@
     public final boolean oneWayKeys;
     public final Span voteLife;
     public final Span callTimeout;
-    public final Span bake;
     public final int loadField;
 
     private final Map<String, String> pairs;
@@ -49,11 +46,9 @@
             int eq = line.indexOf('=');
             if (eq > 0) pairs.put(line.substring(0, eq).trim(), line.substring(eq + 1).trim());
         }
-        relays = Math.max(1, (int) number("balancers"));
         zone = (int) number("my_zone");
         methods = decodeMethods();
         customerShares = decodeShares();
-        byWork = text("worth_by").equals("work");
         overShareWorth = optional("over_share_worth", 1);
         tick = span("tick");
         ask = text("membership_mode").equals("ask");
@@ -84,7 +79,6 @@
         oneWayKeys = optionalText("specifics.keys_stay", "false").equals("true");
         voteLife = span("specifics.ballot_ttl");
         callTimeout = span("specifics.call_timeout");
-        bake = Span.ofMs(optional("specifics.bake", 0));
         loadField = decodeLoadField();
         pairs.clear();
     }
--- a/src/main/java/sprucerock/model/Unit.java
+++ b/src/main/java/sprucerock/model/Unit.java
@@ -1,6 +1,6 @@
 package sprucerock.model;
 
-import sprucerock.stats.DecayingSum;
+import sprucerock.stats.DecayingMean;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
@@ -18,11 +18,10 @@
 
     /** What the module notes about the unit. */
     public int out;
-    public int outcomes;
-    public int outcomesSeen;
+    private int outcomes;
+    private int seen;
     public Moment retryAt;
-    public final DecayingSum slowness = new DecayingSum(Span.ofMs(4000));
-    public final DecayingSum answers = new DecayingSum(Span.ofMs(4000));
+    public DecayingMean pace;
     public double coldTokens;
     public Moment coldAsOf;
     public double reportedLoad;
@@ -39,6 +38,22 @@
         this.weight = weight;
     }
 
+    public void note(boolean ok) {
+        outcomes = outcomes << 1 | (ok ? 1 : 0);
+        seen++;
+    }
+
+    /** How many of the last outcomes are known, of so many at most. */
+    public int known(int most) {
+        return Math.min(seen, most);
+    }
+
+    /** How many of the last so many outcomes were no success. */
+    public int failed(int most) {
+        int known = known(most);
+        return known - Integer.bitCount(outcomes & (1 << known) - 1);
+    }
+
     public boolean sameRun(int build, Moment started) {
         return this.build.number == build && java.util.Objects.equals(this.started, started);
     }
--- a/src/main/java/sprucerock/sim/Relay.java
+++ b/src/main/java/sprucerock/sim/Relay.java
@@ -65,7 +65,6 @@
                     if (!named.contains(unit.id)) removed(unit);
                 }
             }
-            policy.listTold();
         });
     }
 
@@ -227,21 +226,21 @@
         int method = f.getShort() & 0xffff;
         long picks = u32(f);
         long failed = u32(f);
-        Span mean = Span.ofMs(f.getDouble());
-        Span behind = Span.ofMs(f.getDouble());
+        f.getDouble();
+        f.getDouble();
         return () -> {
             Build build = builds.get(number);
-            if (build != null) policy.counted(build, settings.methods.get(method), picks, failed, mean, now.minus(behind));
+            if (build != null) policy.counted(build, settings.methods.get(method), picks, failed);
         };
     }
 
     private Runnable flagged(ByteBuffer f) {
         long unit = u32(f);
-        int method = f.getShort() & 0xffff;
+        f.getShort();
         Span behind = Span.ofMs(f.getDouble());
         return () -> {
             Unit known = units.get(unit);
-            if (known != null && known.olderThan(behind, now)) policy.flagged(known, settings.methods.get(method));
+            if (known != null && known.olderThan(behind, now)) policy.flagged(known);
         };
     }
 
