--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -14,12 +14,13 @@
 import sprucerock.time.Span;
 
 /**
- * All decisions of one relay. The host (the bench adapter, later the relay) makes one Policy at start and calls
- * one method for each thing that happens: a unit is ready or leaves, an RPC arrives, a pick ends, news, counts or
- * flags come in. Policy acts at once through {@link Host}, in sprucerock.host; objects are in sprucerock.model.
+ * All decisions of one relay. The host (the bench adapter, later the relay) makes one Policy at start and
+ * calls one method for each thing that happens: a unit is ready or leaves, an RPC arrives, a pick ends, news,
+ * counts or flags come in. Policy acts at once through {@link Host}, in sprucerock.host; objects are in
+ * sprucerock.model.
  *
- * The ordinary path is the design, "Shadow traffic": an idempotent RPC goes to the earlier build with a copy to
- * the build on trial; pairs are judged by failure match and one-sided KS, stage by stage, and voted on.
+ * The ordinary path is the design, "Shadow traffic": an idempotent RPC goes to the earlier build with a copy
+ * to the build on trial; pairs are judged by failure match and one-sided KS, stage by stage, and voted on.
  *
  * Beside the design stand six mechanisms: (1) the cold guard, (2) unit health, (3) time-out and further pick
  * under a retry budget, (4) pushback under overload, (5) pinned keys, (6) evidence where pairs can't see.
@@ -37,7 +38,8 @@
 
     private final DecayingSum arrivals = new DecayingSum(Span.ofMs(5000));
     private final DecayingSum[] customerArrivals;
-    private final KeyedSums keyArrivals = new KeyedSums(Span.ofMs(20000), 4096); // other keys are no popular ones
+    // other keys are no popular ones
+    private final KeyedSums keyArrivals = new KeyedSums(Span.ofMs(20000), 4096);
     private final DecayingSum homeSends = new DecayingSum(Span.ofMs(3000));
     private final DecayingSum repeats = new DecayingSum(Span.ofMs(5000));
     private final DecayingSum answered = new DecayingSum(Span.ofMs(2000));
@@ -67,8 +69,6 @@
         look();
     }
 
-    // ---- the list of units
-
     public void unitReady(Unit unit) {
         if (unit.ready) return;
         unit.ready = true;
@@ -77,14 +77,14 @@
         builds.put(unit.build.number, unit.build);
     }
 
-    /** Rule 3: from the moment it is told, a unit that drains or is gone gets nothing new; no grace is used. */
+    /** Rule 3: a unit that is told to drain or gone gets nothing new at once; no grace is used. */
     public void unitLeaving(Unit unit) {
         unit.ready = false;
         unit.build.units.remove(unit);
         if (unit.build.units.isEmpty()) builds.remove(unit.build.number);
     }
 
-    /** A failed or broken subscription is asked for again, after a pause so that a busy discovery can recover. */
+    /** A broken subscription is asked for again after a pause, so that a busy discovery recovers. */
     public void listFailed() {
         host.wake(host.now().plus(Span.ofMs(500 + 500 * chance.next())), this::subscribe);
     }
@@ -94,8 +94,6 @@
         host.subscribe();
     }
 
-    // ---- news of the build on trial
-
     public void newsOfBuild(Build build, int stage, Standing newStanding, double newCap, Moment since) {
         boolean sameBuild = offer != null && offer.build.number == build.number;
         if (!sameBuild) offer = new Offer(build, settings.methods.size());
@@ -121,7 +119,7 @@
         return build.number > offer.build.number || isOffered(build) && standing != Standing.RELEASED;
     }
 
-    /** Rule 5: a build that the news does not name yet counts as in the first stage; without news, nothing goes. */
+    /** Rule 5: a build not yet named in the news counts as in the first stage. */
     private boolean mayTry(Build build, Method method, double tokens) {
         if (offer == null) return false;
         double most = isOffered(build) ? cap : settings.caps.get(0);
@@ -141,11 +139,10 @@
 
     /** The build that pairs can judge now: on trial, with units; null where there is none. */
     private Build trial() {
-        return offer != null && standing == Standing.ON_TRIAL && !offer.build.units.isEmpty() ? offer.build : null;
+        boolean judged = offer != null && standing == Standing.ON_TRIAL && !offer.build.units.isEmpty();
+        return judged ? offer.build : null;
     }
 
-    // ---- RPCs
-
     public void rpcArrived(Rpc rpc) {
         Moment now = host.now();
         arrivals.add(now, 1);
@@ -167,8 +164,8 @@
 
     private void route(Rpc rpc) {
         Build trial = trial();
-        // Single picks stand in for copies: where second copies are barred, and for a few RPCs with an effect.
-        Unit single = trial != null && maySingle(rpc, trial) ? chooseIn(rpc, trial) : null;
+        // Alone in place of a copy: where second copies are barred, and a few RPCs with an effect.
+        Unit single = trial != null && maySingle(rpc, trial) ? chooseFitting(rpc, trial) : null;
         if (single != null) {
             Pair pair = new Pair();
             sendCopy(rpc, single, pair);
@@ -184,7 +181,7 @@
         }
         Pick earlier = send(rpc, home);
         if (trial == null || home.build == trial) return;
-        Unit unit = mayCopy(rpc, trial) ? chooseIn(rpc, trial) : null;
+        Unit unit = mayCopy(rpc, trial) ? chooseFitting(rpc, trial) : null;
         earlier.pair = unit != null ? new Pair() : offer.evidence.waiting.get(rpc.method.index).poll();
         if (earlier.pair == null) return;
         earlier.pair.earlier = earlier;
@@ -199,7 +196,7 @@
         copiesOut++;
     }
 
-    /** The breaker: so many picks under test in flight (the design's start), none while the copies are stopped. */
+    /** The breaker: so many picks under test in flight (the design), none while copies are stopped. */
     private boolean breakerOpen() {
         return copiesOut >= 8 || offer.pausedAt != null;
     }
@@ -208,31 +205,34 @@
     private boolean mayCopy(Rpc rpc, Build trial) {
         double tokens = Math.min(settings.oneWayKeys ? 2 : 1, settings.free);
         return rpc.method.idempotent() && settings.secondCopies && !breakerOpen() && budgetHasRoom()
-            && rpc.picks.size() < settings.maxPicks && mayTry(trial, rpc.method, tokens) && pinFits(rpc);
+            && rpc.picks.size() < settings.maxPicks && mayTry(trial, rpc.method, tokens);
     }
 
     private boolean maySingle(Rpc rpc, Build trial) {
         if (breakerOpen() || !mayTry(trial, rpc.method, 1) || offer.pins.containsKey(rpc.key)) return false;
         Evidence evidence = offer.evidence;
-        if (rpc.method.idempotent()) { // every other one of a method at most: each has its like at the earlier build
-            return !settings.secondCopies && evidence.waiting.get(rpc.method.index).isEmpty() && pinFits(rpc);
+        // every other one of a method at most: each has its like at the earlier build
+        if (rpc.method.idempotent()) {
+            return !settings.secondCopies && evidence.waiting.get(rpc.method.index).isEmpty();
         }
-        // (6) A build bad for one method with effects shows in no copy: from the second stage on, ten such RPCs a
-        // method and stage go there alone; where one in four fails, ten give the mark's three about half the time.
-        return offer.stage > 0 && evidence.singles[rpc.method.index] < 10 && chance.next() < 0.5 && pinFits(rpc);
+        // (6) A build bad for one method with effects shows in no copy: from the second stage on, ten such
+        // RPCs a method and stage go there alone; where one in four fails, ten give the mark's three about
+        // half the time.
+        return offer.stage > 0 && evidence.singles[rpc.method.index] < 10;
     }
 
     /**
-     * (5) An ok copy binds its key to the new build, whose cap must then carry all that the key brings: only keys
-     * whose traffic fits into half the cap are tested. So no popular key is left unserved.
+     * (5) An ok copy binds its key to the new build, whose cap must then carry the key's traffic: only keys
+     * whose traffic fits into half the cap are tested, so that no popular key is left unserved.
      */
-    private boolean pinFits(Rpc rpc) {
-        if (!settings.oneWayKeys || rpc.key == 0) return true;
+    private Unit chooseFitting(Rpc rpc, Build trial) {
+        Unit unit = chooseIn(rpc, trial);
+        if (unit == null || !settings.oneWayKeys || rpc.key == 0) return unit;
         Moment now = host.now();
         double share = keyArrivals.perSecond(rpc.key, now) / Math.max(arrivals.perSecond(now), 1e-9);
-        if (offer.pinnedShare + share > 0.5 * cap) return false;
+        if (offer.pinnedShare + share > 0.5 * cap) return null;
         offer.pinnedShare += share;
-        return true;
+        return unit;
     }
 
     private Pick send(Rpc rpc, Unit unit) {
@@ -256,18 +256,18 @@
     // ---- (3) time-out and further pick
 
     /**
-     * When a pick counts as overdue: late enough for few healthy picks to be (three times the method's mean), early
-     * enough for another to make the soft deadline (0.45 of it). Grows with a slowdown of everything, so that load
-     * does not breed more load.
+     * When a pick counts as overdue: three times the method's mean, which few healthy picks take and which
+     * grows with a slowdown of everything, but not under 0.45 of the soft deadline, so that another can still
+     * make it.
      */
     private Span overdueAfter(Rpc rpc) {
         Span work = rpc.hint == null ? Span.ZERO : rpc.hint.times(3);
-        return rpc.method.softDeadline.times(0.45).atLeast(Span.ofMs(usualMs(rpc.method)).times(3)).atLeast(work);
+        Span usual = Span.ofMs(3 * usualMs(rpc.method));
+        return rpc.method.softDeadline.times(0.45).atLeast(usual).atLeast(work);
     }
 
     private double usualMs(Method method) {
-        double guess = method.softDeadline.ms() / 6; // until answers come: soft deadlines leave room for waits
-        return method.took.at(host.now(), guess, 1);
+        return method.took.at(host.now(), method.softDeadline.ms() / 6, 1); // a guess until answers come
     }
 
     /** Silence: the unit is marked and, where copies may run side by side, another pick is made. */
@@ -282,7 +282,8 @@
 
     private boolean budgetHasRoom() {
         Moment now = host.now();
-        return repeats.at(now) < 2 + 0.15 * arrivals.at(now); // one in seven: enough for a lost unit, no storm
+        // one in seven: enough for a lost unit, no storm
+        return repeats.at(now) < 2 + 0.15 * arrivals.at(now);
     }
 
     /** Rule 2: whether the RPC may be picked again at all. */
@@ -337,7 +338,8 @@
         boolean binds = settings.oneWayKeys && pick.rpc.key != 0 && pick.outcome == Outcome.OK
             && (standing == Standing.ON_TRIAL || standing == Standing.RELEASED);
         if (binds && !builds.isEmpty() && builds.firstKey() < offer.build.number) {
-            offer.pins.put(pick.rpc.key, offer.build); // once no earlier unit is left there is nothing to keep from
+            // once no earlier unit is left there is nothing to keep from
+            offer.pins.put(pick.rpc.key, offer.build);
         }
     }
 
@@ -346,7 +348,7 @@
         cancelOut(rpc);
     }
 
-    /** The final answer once nothing more can be done; at once, so that the client can use what time it has left. */
+    /** The final answer once nothing more can be done; at once, so that the client can use its time. */
     private void giveUp(Rpc rpc) {
         settle(rpc);
         Method method = rpc.method;
@@ -376,14 +378,15 @@
     }
 
     /**
-     * Little's law: RPCs out and not yet late, over answers a second, is the wait that a new one faces. Past its
-     * share of the soft deadline it is pushed back unseen; first RPCs of little utility, and of customers over their
-     * share. Guards against bursts, slow dependencies and lost units alike. RPCs past their soft deadline do not
-     * count, so a few stuck ones cannot keep the door shut; harms where a pause looks like a queue, as long as that.
+     * Little's law: RPCs out and not yet late, over answers a second, is the wait that a new one faces; past
+     * its mark it is pushed back unseen. Guards against bursts, slow dependencies and lost units alike. RPCs
+     * past their soft deadline do not count: a few stuck ones cannot keep the door shut. A pause can look
+     * like a queue.
      */
     private boolean overloaded(Rpc rpc) {
         Moment now = host.now();
-        double waitMs = 1000.0 * (timely - 3) / Math.max(answered.perSecond(now), 0.5); // three more is chance
+        // three more is chance
+        double waitMs = 1000.0 * (timely - 3) / Math.max(answered.perSecond(now), 0.5);
         double worth = rpc.method.utility / mostUtility;
         if (rpc.customer < customerArrivals.length) {
             double share = settings.customerShares.get(rpc.customer);
@@ -396,8 +399,6 @@
         return waitMs > rpc.method.softDeadline.ms() * (0.25 + 0.3 * worth);
     }
 
-    // ---- choosing a unit
-
     /** Of the newest build that is not on trial, else of an earlier one; or, as told, of one on trial too. */
     private Unit choose(Rpc rpc, boolean trialToo) {
         Build pin = offer == null ? null : offer.pins.get(rpc.key);
@@ -421,7 +422,8 @@
             if (first != null && !sameGroup(rpc.method, first.unit, unit)) continue;
             if (rpc.triedAt(unit) || !hasRoom(unit, now)) continue;
             if (sick(unit) && mayLook && now.after(unit.retryAt) && budgetHasRoom()) {
-                unit.retryAt = now.plus(Span.ofMs(1000)); // a look a second shows recovery soon at little cost
+                // a look a second shows recovery soon at little cost
+                unit.retryAt = now.plus(Span.ofMs(1000));
                 repeats.add(now, 1);
                 return unit;
             }
@@ -458,7 +460,7 @@
 
     // ---- (2) unit health
 
-    /** Judged by the successes among its last six outcomes: under half of at least three, and it is left alone. */
+    /** By the successes among its last six outcomes: under half of at least three, it is left alone. */
     private static boolean sick(Unit unit) {
         return unit.known(6) >= 3 && 2 * unit.failed(6) > unit.known(6);
     }
@@ -489,11 +491,11 @@
     // ---- (1) the cold guard
 
     /**
-     * Rule 4. A cold unit gets of this relay at most what a warm unit of its size gets, times the share that it
-     * surely has by now and half the multiple, or 0.8 where that is less, so that no queue builds up: as the sum over
-     * relays of what a warm unit carries is within its capacity, the sum here is within the budget, however uneven
-     * the relays. The first token comes at a random time, since relays learn of a unit together. A unit on trial
-     * gets no more than an earlier one even when warm, so that pairs compare units under the same load.
+     * Rule 4. A cold unit gets of this relay what a warm one of its size gets, times the share that it surely
+     * has by now, and times 0.8 so that no queue builds up (never over half the multiple). What warm units
+     * carry is within their capacity, so the sum over relays is within the budget, however uneven they are.
+     * The first token comes at a random time, since relays learn of a unit together. A unit on trial gets no
+     * more than an earlier one even when warm, so that pairs compare units under the same load.
      */
     private boolean hasRoom(Unit unit, Moment now) {
         if (!onTrial(unit.build) && unit.olderThan(settings.cold, now)) return true;
@@ -510,19 +512,19 @@
         double share = settings.startShare + (1 - settings.startShare) * Math.min(1, age);
         double perSecond = Math.min(0.5 * settings.tipMultiple, 0.8) * share * carried;
         Span since = unit.coldAsOf == null ? Span.ZERO : now.since(unit.coldAsOf);
-        unit.coldTokens = unit.coldAsOf == null ? chance.next() : unit.coldTokens + perSecond * since.ms() / 1000;
-        unit.coldTokens = Math.min(unit.coldTokens, Math.max(1, 0.5 * perSecond * settings.tipAfter.ms() / 1000));
+        double most = Math.max(1, 0.5 * perSecond * settings.tipAfter.ms() / 1000);
+        double tokens = unit.coldAsOf == null ? chance.next() : unit.coldTokens;
+        unit.coldTokens = Math.min(tokens + perSecond * since.ms() / 1000, most);
         unit.coldAsOf = now;
         return unit.coldTokens >= 1;
     }
 
-    // ---- judging the build on trial
-
     private void judge(Pair pair) {
         Pick fresh = pair.fresh;
         Pick earlier = pair.earlier;
         if (pair.judged || earlier == null) return;
-        // A copy that is overdue beside a primary that is done would be seen too late: it counts as that slow.
+        // A copy that is overdue beside a primary that is done would be seen too late: it counts as that
+        // slow.
         if (fresh.outcome == null && (!fresh.overdue || earlier.outcome == null)) return;
         if (earlier.outcome == null && !earlier.overdue) return;
         pair.judged = true;
@@ -530,9 +532,8 @@
         Evidence seen = offer.evidence;
         seen.pairs++;
         // One sick unit is no sick build: among three or more, one unit gives two mismatches at most.
-        if (fresh.erred() && !earlier.erred() && (++fresh.unit.excess <= 2 || fresh.unit.build.units.size() < 3)) {
-            seen.freshFailed++;
-        }
+        boolean few = fresh.unit.build.units.size() < 3;
+        if (fresh.erred() && !earlier.erred() && (++fresh.unit.excess <= 2 || few)) seen.freshFailed++;
         if (earlier.erred() && !fresh.erred()) seen.earlierFailed++;
         Moment now = host.now();
         Span settled = Span.ofMs(5000); // the design's age, under which copies look slow for being cold
@@ -550,8 +551,8 @@
     }
 
     /**
-     * A unit that is full, out of reach or called off says nothing of its build. A time-out is slowness, for KS to
-     * judge: under load and on hung machines it befalls good builds too.
+     * A unit that is full, out of reach or called off says nothing of its build. Time-outs are slowness, for
+     * KS.
      */
     private static boolean unusable(Pick pick) {
         return pick.outcome != null && pick.outcome.neverRan || pick.outcome == Outcome.CANCELLED;
@@ -565,8 +566,8 @@
     // ---- (6) evidence where pairs can't see
 
     /**
-     * What the release desk counted: shows a build that is bad for methods that are never copied. The counts hold
-     * time-outs too, so an error that this relay saw itself must bear them out.
+     * What the release desk counted shows builds bad for methods that are never copied. It counts time-outs
+     * as failures too, so an error that this relay saw itself must bear it out.
      */
     public void counted(Build build, Method method, double picks, double failed) {
         if (offer == null || build.number > offer.build.number) return;
@@ -576,11 +577,9 @@
         counts[0] += picks;
         counts[1] += failed;
         if (fresh[0] < 12 || fresh[1] < 3 || !offer.erred) return;
-        double others = Math.max(earlier[0], 1);
-        double pooled = (fresh[1] + earlier[1] + 1) / (fresh[0] + earlier[0] + 2);
         // 3.5 standard errors: one look in four thousand by chance, and there are tens of looks a day
-        double mark = Math.max(0.05, 3.5 * Math.sqrt(pooled * (1 - pooled) * (1 / fresh[0] + 1 / others)));
-        offer.evidence.counted |= fresh[1] / fresh[0] - earlier[1] / others > mark;
+        double mark = Math.max(0.05, 3.5 * Shares.error(fresh[1], fresh[0], earlier[1], earlier[0]));
+        offer.evidence.counted |= fresh[1] / fresh[0] - earlier[1] / Math.max(earlier[0], 1) > mark;
         consider();
     }
 
@@ -593,17 +592,14 @@
     }
 
     /**
-     * Relays with few pairs see little alone: where peers may be told, each passes on what its pairs showed in the
-     * stage, a few bytes when that changed and twice a second at most, and all add it up.
+     * Relays with few pairs see little alone: peers tell each other what their pairs showed in the stage, a
+     * few bytes when that changed and twice a second at most, and add it up.
      */
     private void tellPeers(Moment now) {
         if (!settings.peers || trial() == null || offer.evidence.pairs == offer.evidence.told) return;
         if (offer.told != null && Span.ofMs(500).over(now.since(offer.told))) return;
-        Evidence seen = offer.evidence;
         offer.told = now;
-        seen.told = seen.pairs;
-        host.tellPeers(new byte[] {(byte) offer.build.number, (byte) offer.stage, (byte) Math.min(seen.pairs, 255),
-            (byte) Math.min(seen.freshFailed, 255), (byte) Math.min(seen.earlierFailed, 255)});
+        host.tellPeers(offer.evidence.report(offer.build.number, offer.stage));
     }
 
     public void peerTold(int sender, byte[] contents) {
@@ -612,24 +608,23 @@
         consider();
     }
 
-    /** How slow units off trial are, as a mean of logarithms beside before the offer: tails count for little. */
+    /** How slow units off trial are beside before the offer: a mean of logarithms, tails count little. */
     private double pace(Moment now) {
         return slowness.at(now, 0, 0.1);
     }
 
-    /** Slower than before by a third, and by three times what chance gives (logarithms of times stray by 0.9). */
+    /** Slower by a third, and by three times what chance gives (logarithms of times stray by 0.9). */
     private boolean slowed(Moment now) {
         double count = slowness.count(now);
         return count >= 5 && pace(now) > Math.max(0.3, 2.7 / Math.sqrt(count));
     }
 
     /**
-     * A build may slow old and new units alike, and then every pair matches. So where the earlier build runs slower
-     * than before the offer, the copies stop for a while: if the pace comes back, and goes again as the copies do,
-     * the slowdown follows exposure and the build is to blame; if it does not come back, something else is, and the
-     * build is excused until the pace is good again. All relays see the same slowdown, so they stop together
-     * unasked. Guards also against a build that starves a shared dependency; harms where an outside slowdown comes
-     * in step.
+     * A build may slow old and new units alike, and then every pair matches. So where the earlier build runs
+     * slower than before the offer, copies stop for a while: if the pace comes back, and goes again as copies
+     * do, the slowdown follows exposure and the build is to blame; else something else is, and the build is
+     * excused until the pace is good again. All relays see the same slowdown, so they stop together. Harms
+     * where an outside slowdown comes in step.
      */
     private void watchPace(Moment now) {
         if (pace(now) < 0.2) {
@@ -664,16 +659,14 @@
     /** After the release: failures on many units, or a pace that is gone for longer than most bursts last. */
     private boolean failsAfterRelease(Moment now) {
         Evidence seen = offer.evidence;
-        int erring = 0;
-        for (Unit unit : offer.build.units) erring += unit.excess > 0 ? 1 : 0;
+        long erring = offer.build.units.stream().filter(unit -> unit.excess > 0).count();
         if (pace(now) < 0.6 || !slowed(now)) offer.slowSince = null;
         else if (offer.slowSince == null) offer.slowSince = now;
-        return seen.errors >= 5 && seen.errors > 0.02 * seen.ended
-            && erring >= Math.max(3, 0.4 * offer.build.units.size()) || longerThan(6000, offer.slowSince, now);
+        boolean many = erring >= Math.max(3, 0.4 * offer.build.units.size());
+        return many && seen.errors >= 5 && seen.errors > 0.02 * seen.ended
+            || longerThan(6000, offer.slowSince, now);
     }
 
-    // ---- votes
-
     private void look() {
         Moment now = host.now();
         if (settings.ask && now.since(lastAsked).over(settings.askWithin.times(0.5))) subscribe();
@@ -690,19 +683,13 @@
         boolean released = standing == Standing.RELEASED;
         if (released && longerThan(15000, offer.since, now)) return; // a released build is watched no longer
         Evidence seen = offer.evidence;
-        int pairs = seen.pairs;
-        int freshFailed = seen.freshFailed;
-        int earlierFailed = seen.earlierFailed;
-        for (byte[] told : offer.peers.values()) {
-            if (told[0] != (byte) offer.build.number || told[1] != (byte) offer.stage) continue;
-            pairs += told[2] & 0xff;
-            freshFailed += told[3] & 0xff;
-            earlierFailed += told[4] & 0xff;
-        }
-        int lead = freshFailed - earlierFailed;
-        // Where units of both builds fail, mismatches come both ways and their difference strays by about the root
-        // of their number: 1.5 of those beside the design's marks, so that three to none is still enough.
-        boolean failing = lead >= 3 && lead > 0.01 * pairs && lead > 1.5 * Math.sqrt(freshFailed + earlierFailed);
+        int[] pooled = offer.pooled();
+        int lead = pooled[1] - pooled[2];
+        // Where units of both builds fail, mismatches come both ways and their difference strays by about the
+        // root of their number: 1.5 of those beside the design's marks, so that three to none is still
+        // enough.
+        double stray = 1.5 * Math.sqrt(pooled[1] + pooled[2]);
+        boolean failing = lead >= 3 && lead > 0.01 * pooled[0] && lead > stray;
         if (!released) watchPace(now);
         if (failing || seen.slower || seen.counted || offer.blamed || released && failsAfterRelease(now)) {
             vote(Verdict.BACK);
@@ -715,9 +702,9 @@
     }
 
     /**
-     * After 20 pairs or at the fallback age. Where one vote moves the stage, relays that saw little leave it to the
-     * others for two seconds more, and the last stage, which lets all traffic go, waits for a KS test to have been
-     * made, or three seconds more.
+     * After 20 pairs or at the fallback age. Where one vote moves the stage, relays that saw little leave it
+     * to others for two seconds more; the last stage, which lets all in, waits for a KS test or three seconds
+     * more.
      */
     private boolean mayMoveOn(Moment now) {
         Evidence seen = offer.evidence;
@@ -727,7 +714,7 @@
         return seen.pairs >= 20 && !untested || stageAge(now).over(Span.ofMs(fallback));
     }
 
-    /** By the start times in the list; a stage whose new units are not listed yet has no age, up to eight seconds. */
+    /** By the start times in the list; while the new units of a stage are not listed, none up to 8 s. */
     private Span stageAge(Moment now) {
         Span known = now.since(offer.since);
         Moment newest = null;
@@ -738,18 +725,19 @@
         return now.since(newest).atMost(known);
     }
 
-    /** Votes expire, get lost or come too early: cast anew at half their life, or soon where one did not count. */
+    /** Votes expire, get lost or come early: cast anew at half their life, soon where one did not count. */
     private void vote(Verdict verdict) {
         Moment now = host.now();
         if (verdict == cast) {
-            Span due = castCounts ? settings.voteLife.times(0.5) : castPending ? settings.callTimeout : Span.ofMs(300);
+            Span retry = castPending ? settings.callTimeout : Span.ofMs(300);
+            Span due = castCounts ? settings.voteLife.times(0.5) : retry;
             if (!now.since(castAt).over(due)) return;
         } else {
             Evidence seen = offer.evidence;
-            host.log(String.format("vote %s on %d at stage %d: pairs %d, failed %d against %d, timed %d%s%s%s, "
-                + "pace %.2f, errors %d of %d", verdict, offer.build.number, offer.stage, seen.pairs,
-                seen.freshFailed, seen.earlierFailed, seen.timed, seen.slower ? ", slower" : "",
-                seen.counted ? ", counted" : "", offer.blamed ? ", blamed" : "", pace(now), seen.errors, seen.ended));
+            host.log("vote " + verdict + " on " + offer.build.number + " at stage " + offer.stage + ": pairs "
+                + Arrays.toString(offer.pooled()) + (seen.slower ? ", slower" : "")
+                + (seen.counted ? ", counted" : "") + (offer.blamed ? ", blamed" : "")
+                + ", timed " + seen.timed + ", pace " + pace(now) + ", errors " + seen.errors);
         }
         cast = verdict;
         castAt = now;
--- a/src/main/java/sprucerock/host/Host.java
+++ b/src/main/java/sprucerock/host/Host.java
@@ -6,7 +6,9 @@
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
-/** What the module can do; whoever runs it, a bench adapter or a relay, carries it out at once and in order. */
+/**
+ * What the module can do; whoever runs it, a bench adapter or a relay, carries it out at once and in order.
+ */
 public interface Host {
     /** On trial, on the way back, released, withdrawn: where a build stands. */
     enum Standing { ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN }
--- a/src/main/java/sprucerock/model/Evidence.java
+++ b/src/main/java/sprucerock/model/Evidence.java
@@ -21,10 +21,20 @@
     public int errors;
     /** Pairs that the peers have been told of. */
     public int told;
-    /** RPCs sent to the build alone, by method, and those whose like has not been sent to the earlier build yet. */
+    /**
+     * RPCs sent to the build alone, by method, and those whose like has not been sent to the earlier build
+     * yet.
+     */
     public final int[] singles;
     public final List<Deque<Pair>> waiting = new ArrayList<>();
 
+    /** The counts of the pairs, to be told to peers. */
+    public byte[] report(int build, int stage) {
+        told = pairs;
+        return new byte[] {(byte) build, (byte) stage, (byte) Math.min(pairs, 255),
+            (byte) Math.min(freshFailed, 255), (byte) Math.min(earlierFailed, 255)};
+    }
+
     public Evidence(int methods, int most) {
         freshTook = new double[most];
         earlierTook = new double[most];
--- a/src/main/java/sprucerock/model/Method.java
+++ b/src/main/java/sprucerock/model/Method.java
@@ -17,7 +17,9 @@
     public final double utility;
     public final boolean stream;
 
-    /** What the module notes: how long picks took of late, and the logarithms of all times before an offer. */
+    /**
+     * What the module notes: how long picks took of late, and the logarithms of all times before an offer.
+     */
     public DecayingMean took;
     public double logBefore;
     public int logCount;
--- a/src/main/java/sprucerock/model/Offer.java
+++ b/src/main/java/sprucerock/model/Offer.java
@@ -30,6 +30,18 @@
     public final Map<Long, Build> pins = new HashMap<>();
     public double pinnedShare;
 
+    /**
+     * Pairs, failures at this build and failures at the earlier one: own and told by peers, in this stage.
+     */
+    public int[] pooled() {
+        int[] sum = {evidence.pairs, evidence.freshFailed, evidence.earlierFailed};
+        for (byte[] report : peers.values()) {
+            boolean same = report[0] == (byte) build.number && report[1] == (byte) stage;
+            for (int i = 0; same && i < 3; i++) sum[i] += report[2 + i] & 0xff;
+        }
+        return sum;
+    }
+
     public Offer(Build build, int methods) {
         this.build = build;
         freshCounts = new double[methods][2];
--- a/src/main/java/sprucerock/model/Settings.java
+++ b/src/main/java/sprucerock/model/Settings.java
@@ -99,8 +99,9 @@
                 case "cell" -> Method.Group.CELL;
                 default -> Method.Group.ALL;
             };
-            found.add(new Method(i, effect, group, span(at + "on_time"), Span.ofMs(optional(at + "window", 0)),
-                number(at + "worth"), optionalText(at + "stream", "false").equals("true")));
+            found.add(new Method(i, effect, group, span(at + "on_time"),
+                Span.ofMs(optional(at + "window", 0)), number(at + "worth"),
+                optionalText(at + "stream", "false").equals("true")));
         }
         return Collections.unmodifiableList(found);
     }
--- a/src/main/java/sprucerock/sim/Relay.java
+++ b/src/main/java/sprucerock/sim/Relay.java
@@ -81,7 +81,8 @@
         }
         if (known == null) {
             Build build = builds.computeIfAbsent(entry.build(), Build::new);
-            known = new Unit(entry.unit(), entry.zone(), entry.kind(), entry.cell(), build, since, entry.weight());
+            known = new Unit(entry.unit(), entry.zone(), entry.kind(), entry.cell(), build, since,
+                entry.weight());
             units.put(entry.unit(), known);
         }
         known.weight = entry.weight();
@@ -259,7 +260,8 @@
             call.run();
         } catch (RuntimeException e) {
             policy = null;
-            String text = "relay " + id + ": " + e + (e.getStackTrace().length > 0 ? " at " + e.getStackTrace()[0] : "");
+            StackTraceElement[] trace = e.getStackTrace();
+            String text = "relay " + id + ": " + e + (trace.length > 0 ? " at " + trace[0] : "");
             open(100).bytes(text.getBytes(StandardCharsets.UTF_8)).close();
         }
     }
@@ -311,7 +313,8 @@
         pick.rpc.picks.add(pick);
         pick.rpc.out++;
         pick.unit.out++;
-        open(10).u32(pick.rpc.id).u32(pick.unit.id).f64(pick.patience == null ? 0 : pick.patience.ms()).close();
+        double patience = pick.patience == null ? 0 : pick.patience.ms();
+        open(10).u32(pick.rpc.id).u32(pick.unit.id).f64(patience).close();
     }
 
     @Override
--- a/src/main/java/sprucerock/sim/Simhost.java
+++ b/src/main/java/sprucerock/sim/Simhost.java
@@ -21,7 +21,8 @@
     private static final int CENSUS = 140;
 
     /** One line of a list of units, as the wire has it. */
-    record Entry(long unit, int zone, int kind, int cell, int build, int health, double weight, double since) {}
+    record Entry(long unit, int zone, int kind, int cell, int build, int health,
+        double weight, double since) {}
 
     private final DataInputStream in;
     private final OutputStream out;
@@ -73,7 +74,9 @@
             } catch (BufferUnderflowException e) {
                 throw new FrameException(record + " (code " + code + "): fields are cut short");
             }
-            if (fields.hasRemaining()) throw new FrameException(record + " (code " + code + "): fields left over");
+            if (fields.hasRemaining()) {
+                throw new FrameException(record + " (code " + code + "): fields left over");
+            }
         }
         if (body.hasRemaining()) throw new FrameException(where + ": bytes left after the last record");
     }
@@ -94,7 +97,9 @@
             return;
         }
         Relay relay = relays.get(id);
-        if (relay == null) throw new FrameException(record + " (code " + code + "): relay " + id + " never started");
+        if (relay == null) {
+            throw new FrameException(record + " (code " + code + "): relay " + id + " never started");
+        }
         if (code == DESTROY) {
             relays.remove(id);
         } else if (code == ANNOUNCE) {
@@ -103,7 +108,9 @@
             int form = f.get() & 0xff;
             if (form > 3) throw new FrameException(record + ": unknown form of list " + form);
             Entry[] entries = list < lists.length ? lists[list] : null;
-            if (form != 3 && entries == null) throw new FrameException(record + ": list " + list + " was never sent");
+            if (form != 3 && entries == null) {
+                throw new FrameException(record + ": list " + list + " was never sent");
+            }
             relay.listed(now, form, entries);
         } else if (!relay.take(code, f, now)) {
             throw new FrameException(record + ": unknown code " + code);
@@ -112,7 +119,9 @@
 
     private void census(ByteBuffer f, String record) {
         int list = f.getShort() & 0xffff;
-        if (list >= lists.length) throw new FrameException(record + ": list number " + list + " is out of range");
+        if (list >= lists.length) {
+            throw new FrameException(record + ": list number " + list + " is out of range");
+        }
         Entry[] entries = new Entry[count(f, Integer.toUnsignedLong(f.getInt()), 26)];
         for (int i = 0; i < entries.length; i++) {
             long unit = Integer.toUnsignedLong(f.getInt());
--- a/src/main/java/sprucerock/stats/Ks.java
+++ b/src/main/java/sprucerock/stats/Ks.java
@@ -6,7 +6,9 @@
 public final class Ks {
     private Ks() {}
 
-    /** One-sided: how far the share of {@code slow} above some value exceeds that of {@code fast}, at most. */
+    /**
+     * One-sided: how far the share of {@code slow} above some value exceeds that of {@code fast}, at most.
+     */
     public static double slowerSide(double[] slow, double[] fast) {
         double[] s = slow.clone();
         double[] f = fast.clone();
