--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -576,7 +576,7 @@
         double[] counts = isOffered(build) ? fresh : earlier;
         counts[0] += picks;
         counts[1] += failed;
-        if (fresh[0] < 12 || fresh[1] < 3 || !offer.erred) return;
+        if (fresh[0] < 12 || fresh[1] < 3 || !offer.erred || standing == Standing.RELEASED) return;
         // 3.5 standard errors: one look in four thousand by chance, and there are tens of looks a day
         double mark = Math.max(0.05, 3.5 * Shares.error(fresh[1], fresh[0], earlier[1], earlier[0]));
         offer.evidence.counted |= fresh[1] / fresh[0] - earlier[1] / Math.max(earlier[0], 1) > mark;
@@ -662,7 +662,7 @@
         long erring = offer.build.units.stream().filter(unit -> unit.excess > 0).count();
         if (pace(now) < 0.6 || !slowed(now)) offer.slowSince = null;
         else if (offer.slowSince == null) offer.slowSince = now;
-        boolean many = erring >= Math.max(3, 0.4 * offer.build.units.size());
+        boolean many = erring >= Math.max(3, 0.6 * offer.build.units.size());
         return many && seen.errors >= 5 && seen.errors > 0.02 * seen.ended
             || longerThan(6000, offer.slowSince, now);
     }
@@ -696,7 +696,7 @@
         } else if (!released && settings.control == Settings.Control.CLOCKED) {
             if (lead > 0 || inDoubt(now)) vote(Verdict.HOLD);
             else if (cast != Verdict.NONE) vote(Verdict.NONE);
-        } else if (!released && lead <= 0 && !inDoubt(now) && mayMoveOn(now)) {
+        } else if (!released && !inDoubt(now) && mayMoveOn(now)) {
             vote(Verdict.ON);
         }
     }
