--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -63,6 +63,7 @@
         for (Method method : settings.methods) {
             mostUtility = Math.max(mostUtility, method.utility);
             method.took = new DecayingMean(Span.ofMs(10000));
+            method.logBefore = new DecayingMean(Span.ofMs(20000));
             method.trialTokens = settings.free;
         }
         if (settings.ask) subscribe();
@@ -105,6 +106,7 @@
             cast = Verdict.NONE;
         }
         standing = newStanding;
+        offer.tried |= standing == Standing.ON_TRIAL;
         cap = newCap;
         if (standing == Standing.GOING_BACK || standing == Standing.WITHDRAWN) offer.pins.clear();
         consider();
@@ -480,11 +482,11 @@
         if (onTrial(pick.unit.build)) return;
         method.took.add(now, ms);
         double log = Math.log(ms / (pick.rpc.hint == null ? 1 : Math.max(pick.rpc.hint.ms(), 1)));
-        if (offer == null || !isOffered(pick.unit.build) && standing != Standing.ON_TRIAL) {
-            method.logBefore += log;
+        if (!watched(now)) {
+            method.logBefore.add(now, log);
             method.logCount++;
         } else if (method.logCount >= 5) {
-            slowness.add(now, log - method.logBefore / method.logCount);
+            slowness.add(now, log - method.logBefore.at(now, 0, 1e-9));
         }
     }
 
@@ -677,11 +679,18 @@
         host.wake(now.plus(Span.ofMs(100)), this::look); // well under a stage's shortest time
     }
 
+    /**
+     * On trial, or released a short while ago: fifteen seconds, in which what all traffic shows has shown.
+     */
+    private boolean watched(Moment now) {
+        boolean fresh = standing == Standing.RELEASED && offer.tried && !longerThan(15000, offer.since, now);
+        return standing == Standing.ON_TRIAL || fresh;
+    }
+
     private void consider() {
-        if (standing == Standing.GOING_BACK || standing == Standing.WITHDRAWN) return;
         Moment now = host.now();
         boolean released = standing == Standing.RELEASED;
-        if (released && longerThan(15000, offer.since, now)) return; // a released build is watched no longer
+        if (!watched(now)) return;
         Evidence seen = offer.evidence;
         int[] pooled = offer.pooled();
         int lead = pooled[1] - pooled[2];
--- a/src/main/java/sprucerock/model/Offer.java
+++ b/src/main/java/sprucerock/model/Offer.java
@@ -10,6 +10,8 @@
     public final Build build;
     public int stage;
     public Moment since;
+    /** Seen on trial by this relay, not only after its release. */
+    public boolean tried;
     /** What this relay saw in the present stage. */
     public Evidence evidence;
     /** An error came back from the build. */
