--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -52,11 +52,13 @@
     private boolean castCounts;
     private boolean castPending;
     private Moment lastAsked;
+    private final Moment started;
 
     public Policy(Host host, Settings settings, long seed) {
         this.host = host;
         this.settings = settings;
         chance = new Chance(seed);
+        started = host.now();
         customerArrivals = new DecayingSum[settings.customerShares.size()];
         Arrays.setAll(customerArrivals, i -> new DecayingSum(Span.ofMs(5000)));
         sharedTokens = settings.free;
@@ -101,6 +103,7 @@
         if (!sameBuild || stage != offer.stage || newStanding != standing) {
             offer.stage = stage;
             offer.since = since;
+            offer.slowSince = null;
             offer.evidence = new Evidence(settings.methods.size(), 80);
             for (Unit unit : build.units) unit.excess = 0;
             cast = Verdict.NONE;
@@ -482,6 +485,7 @@
         if (onTrial(pick.unit.build)) return;
         method.took.add(now, ms);
         double log = Math.log(ms / (pick.rpc.hint == null ? 1 : Math.max(pick.rpc.hint.ms(), 1)));
+        if (!longerThan(2000, started, now)) return; // a fleet that just woke has no queues yet
         if (!watched(now)) {
             method.logBefore.add(now, log);
             method.logCount++;
@@ -615,10 +619,10 @@
         return slowness.at(now, 0, 0.1);
     }
 
-    /** Slower by a third, and by three times what chance gives (logarithms of times stray by 0.9). */
+    /** Slower by half, and by three times what chance gives (logarithms of times stray by 0.9). */
     private boolean slowed(Moment now) {
         double count = slowness.count(now);
-        return count >= 5 && pace(now) > Math.max(0.3, 2.7 / Math.sqrt(count));
+        return count >= 5 && pace(now) > Math.max(0.4, 2.7 / Math.sqrt(count));
     }
 
     /**
