--- /dev/null
+++ b/src/test/java/sprucerock/FakeHost.java
@@ -0,0 +1,221 @@
+package sprucerock;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import sprucerock.host.Host;
+import sprucerock.model.Build;
+import sprucerock.model.Outcome;
+import sprucerock.model.Pick;
+import sprucerock.model.Rpc;
+import sprucerock.model.Settings;
+import sprucerock.model.Unit;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/** One relay's world for a story: a clock, timers, and a record of what the module did. */
+final class FakeHost implements Host {
+    private record Timer(Moment when, int order, Runnable what) {}
+
+    static final String SETTINGS = """
+        balancers=3
+        classes.count=3
+        classes.0.effect=read_like
+        classes.0.on_time=1500.0
+        classes.0.worth=2.0
+        classes.1.effect=idempotency_key
+        classes.1.group=all
+        classes.1.on_time=1200.0
+        classes.1.window=2000.0
+        classes.1.worth=5.0
+        classes.2.effect=non_idempotent
+        classes.2.on_time=2000.0
+        classes.2.worth=3.0
+        membership_mode=push
+        my_zone=0
+        obligations.ask_within=10000.0
+        obligations.cold=3900.0
+        obligations.start_capacity=0.36
+        obligations.tip_after=1000.0
+        obligations.tip_multiple=3.0
+        permissions.cancel=true
+        permissions.max_retry_after=500.0
+        permissions.peers=true
+        permissions.retry_after=true
+        permissions.second_copies=true
+        permissions.send_cap=5
+        specifics.ballot_ttl=4000.0
+        specifics.call_timeout=2000.0
+        specifics.caps=0.1,0.4,1.0
+        specifics.counted_over=3000.0
+        specifics.keys_stay=false
+        specifics.per=all
+        specifics.safe_only_stages=0
+        specifics.uncounted=3.0
+        specifics.vote_mode=single
+        telemetry.names=
+        tick=5.0
+        """;
+
+    final List<Pick> sent = new ArrayList<>();
+    final List<Pick> cancelled = new ArrayList<>();
+    final List<Rpc> pushedBack = new ArrayList<>();
+    final List<Rpc> aborted = new ArrayList<>();
+    final List<Verdict> votes = new ArrayList<>();
+    final List<byte[]> told = new ArrayList<>();
+    int subscriptions;
+    final Settings settings;
+    final Policy policy;
+    final Build old = new Build(1);
+    final Build fresh = new Build(2);
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) -> {
+        int byTime = a.when.compareTo(b.when);
+        return byTime != 0 ? byTime : Integer.compare(a.order, b.order);
+    });
+    private Moment now = Moment.ofMs(100_000);
+    private int made;
+
+    /** A host whose settings differ from the usual ones as the lines say. */
+    FakeHost(String... lines) {
+        settings = new Settings(SETTINGS + String.join("\n", lines));
+        policy = new Policy(this, settings, 42);
+    }
+
+    /** Warm units of the earlier build, and news that it is the released one. */
+    FakeHost with(int units) {
+        for (int i = 0; i < units; i++) unit(old, null);
+        policy.newsOfBuild(old, 2, Standing.RELEASED, 1, now.minus(Span.ofMs(60_000)));
+        return this;
+    }
+
+    /** So many warm units of the build on trial, and news that puts it there. */
+    FakeHost offering(int units, int stage, double cap) {
+        for (int i = 0; i < units; i++) unit(fresh, now.minus(Span.ofMs(20_000)));
+        policy.newsOfBuild(fresh, stage, Standing.ON_TRIAL, cap, now);
+        return this;
+    }
+
+    Unit unit(Build build, Moment started) {
+        Unit unit = new Unit(made++, 0, 0, 0, build, started, 1);
+        policy.unitReady(unit);
+        return unit;
+    }
+
+    Rpc rpc(int method) {
+        return rpc(method, 0, 4000);
+    }
+
+    Rpc rpc(int method, long key, double leftMs) {
+        Rpc rpc = new Rpc(made++, settings.methods.get(method), 0, key, now, now.plus(Span.ofMs(leftMs)), null);
+        policy.rpcArrived(rpc);
+        return rpc;
+    }
+
+    /** The first idempotent RPC of the key that gets a copy; those before it are answered ok. */
+    Rpc firstCopied(long key) {
+        for (int i = 0; i < 100; i++) {
+            Rpc rpc = rpc(0, key, 4000);
+            if (rpc.picks.size() == 2) return rpc;
+            pass(50);
+            endAll(Outcome.OK, Outcome.OK);
+        }
+        throw new AssertionError("no RPC got a copy");
+    }
+
+    void end(Pick pick, Outcome outcome) {
+        pick.outcome = outcome;
+        pick.took = now.since(pick.sent);
+        pick.unit.out--;
+        pick.rpc.out--;
+        boolean answers = outcome == Outcome.OK && !pick.rpc.ended;
+        pick.rpc.ended |= answers;
+        policy.pickEnded(pick, answers);
+    }
+
+    /** Ends all picks that are out, those at the fresh build with one outcome, the others with another. */
+    void endAll(Outcome atFresh, Outcome atOld) {
+        for (Pick pick : List.copyOf(sent)) {
+            if (pick.outcome == null) end(pick, pick.unit.build == fresh ? atFresh : atOld);
+        }
+    }
+
+    long sentTo(Build build) {
+        return sent.stream().filter(pick -> pick.unit.build == build).count();
+    }
+
+    /** Idempotent RPCs, one every so many milliseconds, all answered ok after 40 ms. */
+    void traffic(int rpcs, double gapMs) {
+        for (int i = 0; i < rpcs; i++) {
+            rpc(0);
+            pass(40);
+            endAll(Outcome.OK, Outcome.OK);
+            pass(gapMs - 40);
+        }
+    }
+
+    void pass(double ms) {
+        Moment until = now.plus(Span.ofMs(ms));
+        while (!timers.isEmpty() && !timers.peek().when.after(until)) {
+            Timer timer = timers.poll();
+            now = now.later(timer.when);
+            timer.what.run();
+        }
+        now = until;
+    }
+
+    @Override
+    public Moment now() {
+        return now;
+    }
+
+    @Override
+    public void send(Pick pick) {
+        pick.rpc.picks.add(pick);
+        pick.rpc.out++;
+        pick.unit.out++;
+        sent.add(pick);
+    }
+
+    @Override
+    public void cancel(Pick pick) {
+        cancelled.add(pick);
+    }
+
+    @Override
+    public void pushBack(Rpc rpc, Span wait) {
+        rpc.ended = true;
+        pushedBack.add(rpc);
+    }
+
+    @Override
+    public void abort(Rpc rpc) {
+        rpc.ended = true;
+        aborted.add(rpc);
+    }
+
+    @Override
+    public void wake(Moment when, Runnable what) {
+        timers.add(new Timer(when, made++, what));
+    }
+
+    @Override
+    public void vote(Build build, int stage, Verdict verdict) {
+        votes.add(verdict);
+    }
+
+    @Override
+    public void tellPeers(byte[] contents) {
+        told.add(contents);
+    }
+
+    @Override
+    public void subscribe() {
+        subscriptions++;
+    }
+
+    @Override
+    public void fetchUnits() {}
+
+    @Override
+    public void log(String line) {}
+}
