--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -486,7 +486,7 @@
         method.took.add(now, ms);
         double log = Math.log(ms / (pick.rpc.hint == null ? 1 : Math.max(pick.rpc.hint.ms(), 1)));
         if (!longerThan(2000, started, now)) return; // a fleet that just woke has no queues yet
-        if (!watched(now)) {
+        if (!watched(now) || offer.stage == 0) { // the first stage's few picks slow nothing much yet
             method.logBefore.add(now, log);
             method.logCount++;
         } else if (method.logCount >= 5) {
@@ -644,7 +644,7 @@
             offer.slowSince = now;
         }
         if (offer.pausedAt == null && !offer.excused && longerThan(700, offer.slowSince, now)) {
-            offer.blamed |= offer.resumedAt != null && !longerThan(8000, offer.resumedAt, now);
+            offer.blamed |= offer.resumedAt != null && !longerThan(5000, offer.resumedAt, now);
             offer.pausedAt = now;
         }
         if (longerThan(5000, offer.pausedAt, now)) { // twice what queues of a soft deadline need to drain
