--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -401,7 +401,7 @@
             if (own > 1.2 * fair && chance.next() > fair / own) worth *= settings.overShareWorth;
         }
         // a quarter to half of the soft deadline: what is left must hold the work itself and its long tail
-        return waitMs > rpc.method.softDeadline.ms() * (0.25 + 0.3 * worth);
+        return waitMs > rpc.method.softDeadline.ms() * (0.35 + 0.2 * worth);
     }
 
     /** Of the newest build that is not on trial, else of an earlier one; or, as told, of one on trial too. */
