--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -250,9 +250,11 @@
         }
         unit.coldTokens--;
         Span overdue = overdueAfter(rpc);
+        // Where one pick must end before the next, it is cut only when lost: its work so far is thrown away.
+        Span lost = overdue.times(2);
         boolean cut = !settings.secondCopies && !rpc.method.streamOrOnce()
-            && rpc.picks.size() + 1 < settings.maxPicks && rpc.deadline.since(now).over(overdue.times(1.5));
-        Pick pick = new Pick(rpc, unit, now, cut ? overdue : null);
+            && rpc.picks.size() + 1 < settings.maxPicks && rpc.deadline.since(now).over(lost.times(1.5));
+        Pick pick = new Pick(rpc, unit, now, cut ? lost : null);
         host.send(pick);
         host.wake(now.plus(overdue), () -> overdue(pick));
         return pick;
@@ -267,7 +269,7 @@
      */
     private Span overdueAfter(Rpc rpc) {
         Span work = rpc.hint == null ? Span.ZERO : rpc.hint.times(3);
-        Span usual = Span.ofMs(2 * usualMs(rpc.method));
+        Span usual = Span.ofMs(3 * usualMs(rpc.method));
         return rpc.method.softDeadline.times(0.45).atLeast(usual).atLeast(work);
     }
 
@@ -401,7 +403,7 @@
             if (own > 1.2 * fair && chance.next() > fair / own) worth *= settings.overShareWorth;
         }
         // a quarter to half of the soft deadline: what is left must hold the work itself and its long tail
-        return waitMs > rpc.method.softDeadline.ms() * (0.35 + 0.2 * worth);
+        return waitMs > rpc.method.softDeadline.ms() * (0.25 + 0.3 * worth);
     }
 
     /** Of the newest build that is not on trial, else of an earlier one; or, as told, of one on trial too. */
