--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -270,7 +270,7 @@
     private Span overdueAfter(Rpc rpc) {
         Span work = rpc.hint == null ? Span.ZERO : rpc.hint.times(3);
         Span usual = Span.ofMs(3 * usualMs(rpc.method));
-        return rpc.method.softDeadline.times(0.45).atLeast(usual).atLeast(work);
+        return rpc.method.softDeadline.times(0.7).atLeast(usual).atLeast(work);
     }
 
     private double usualMs(Method method) {
