--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -1,17 +1,11 @@
 package sprucerock;
 
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.List;
-import java.util.TreeMap;
+import java.util.*;
 import sprucerock.host.Host;
-import sprucerock.host.Host.Reply;
-import sprucerock.host.Host.Standing;
-import sprucerock.host.Host.Verdict;
+import sprucerock.host.Host.*;
 import sprucerock.model.*;
 import sprucerock.stats.*;
-import sprucerock.time.Moment;
-import sprucerock.time.Span;
+import sprucerock.time.*;
 
 /**
  * All decisions of one relay. The host (the bench adapter, later the relay) makes one Policy at start and
@@ -111,7 +105,7 @@
         standing = newStanding;
         offer.tried |= standing == Standing.ON_TRIAL;
         cap = newCap;
-        if (standing == Standing.GOING_BACK || standing == Standing.WITHDRAWN) offer.pins.clear();
+        if (standing != Standing.ON_TRIAL) offer.pins.clear();
         consider();
     }
 
@@ -260,17 +254,14 @@
         return pick;
     }
 
-    // ---- (3) time-out and further pick
-
     /**
-     * When a pick counts as overdue: three times the method's mean, which few healthy picks take and which
-     * grows with a slowdown of everything, but not under 0.45 of the soft deadline, so that another can still
-     * make it.
+     * (3) When a pick is overdue: at three times the method's mean, which grows as everything slows, but not
+     * under 0.45 of the soft deadline; so few healthy picks are, and another can still be in time.
      */
     private Span overdueAfter(Rpc rpc) {
         Span work = rpc.hint == null ? Span.ZERO : rpc.hint.times(3);
         Span usual = Span.ofMs(3 * usualMs(rpc.method));
-        return rpc.method.softDeadline.times(0.7).atLeast(usual).atLeast(work);
+        return rpc.method.softDeadline.times(0.45).atLeast(usual).atLeast(work);
     }
 
     private double usualMs(Method method) {
@@ -342,12 +333,8 @@
             offer.evidence.errors += pick.erred() ? 1 : 0;
             pick.unit.excess += pick.erred() ? 1 : 0;
         }
-        boolean binds = settings.oneWayKeys && pick.rpc.key != 0 && pick.outcome == Outcome.OK
-            && (standing == Standing.ON_TRIAL || standing == Standing.RELEASED);
-        if (binds && !builds.isEmpty() && builds.firstKey() < offer.build.number) {
-            // once no earlier unit is left there is nothing to keep from
-            offer.pins.put(pick.rpc.key, offer.build);
-        }
+        boolean binds = settings.oneWayKeys && pick.rpc.key != 0 && pick.outcome == Outcome.OK;
+        if (binds && standing == Standing.ON_TRIAL) offer.pins.put(pick.rpc.key, offer.build);
     }
 
     public void clientLeft(Rpc rpc) {
@@ -376,8 +363,6 @@
         }
     }
 
-    // ---- (4) pushback under overload
-
     /** Ends an RPC's part in the queue: it was answered, or its soft deadline has passed. */
     private void settle(Rpc rpc) {
         if (!rpc.settled) timely--;
@@ -385,10 +370,10 @@
     }
 
     /**
-     * Little's law: RPCs out and not yet late, over answers a second, is the wait that a new one faces; past
-     * its mark it is pushed back unseen. Guards against bursts, slow dependencies and lost units alike. RPCs
-     * past their soft deadline do not count: a few stuck ones cannot keep the door shut. A pause can look
-     * like a queue.
+     * (4) Little's law: RPCs out and not yet late, over answers a second, is the wait that a new one faces;
+     * past its mark it is pushed back unseen. Guards against bursts, slow dependencies and lost units alike.
+     * RPCs past their soft deadline do not count: a few stuck ones cannot keep the door shut. A pause can
+     * look like a queue.
      */
     private boolean overloaded(Rpc rpc) {
         Moment now = host.now();
@@ -406,9 +391,16 @@
         return waitMs > rpc.method.softDeadline.ms() * (0.25 + 0.3 * worth);
     }
 
+    /** Once a build is released every key counts as bound to it: the list may show earlier units come back
+     * before the desk tells that it goes back. */
+    private Build pinOf(long key) {
+        if (offer == null || !settings.oneWayKeys || key == 0) return null;
+        return standing == Standing.RELEASED ? offer.build : offer.pins.get(key);
+    }
+
     /** Of the newest build that is not on trial, else of an earlier one; or, as told, of one on trial too. */
     private Unit choose(Rpc rpc, boolean trialToo) {
-        Build pin = offer == null ? null : offer.pins.get(rpc.key);
+        Build pin = pinOf(rpc.key);
         for (Build build : builds.descendingMap().values()) {
             if (pin != null && build.number < pin.number) return null;
             boolean mayUse = trialToo || pin != null && build.number == pin.number;
@@ -465,9 +457,7 @@
         return (1 + load / Math.max(unit.weight, 0.1)) * unit.pace.at(now, 1, 2) * (1 + unit.failed(6)) * far;
     }
 
-    // ---- (2) unit health
-
-    /** By the successes among its last six outcomes: under half of at least three, it is left alone. */
+    /** (2) By the successes among its last six outcomes: under half of at least three, it is left alone. */
     private static boolean sick(Unit unit) {
         return unit.known(6) >= 3 && 2 * unit.failed(6) > unit.known(6);
     }
@@ -496,14 +486,12 @@
         }
     }
 
-    // ---- (1) the cold guard
-
     /**
-     * Rule 4. A cold unit gets of this relay what a warm one of its size gets, times the share that it surely
-     * has by now, and times 0.8 so that no queue builds up (never over half the multiple). What warm units
-     * carry is within their capacity, so the sum over relays is within the budget, however uneven they are.
-     * The first token comes at a random time, since relays learn of a unit together. A unit on trial gets no
-     * more than an earlier one even when warm, so that pairs compare units under the same load.
+     * (1) Rule 4. A cold unit gets of this relay what a warm one of its size gets, times the share that it
+     * surely has by now, and times 0.8 so that no queue builds up (never over half the multiple). What warm
+     * units carry is within their capacity, so the sum over relays is within the budget, however uneven they
+     * are. The first token comes at a random time, since relays learn of a unit together. A unit on trial
+     * gets no more than an earlier one even when warm, so that pairs compare units under the same load.
      */
     private boolean hasRoom(Unit unit, Moment now) {
         if (!onTrial(unit.build) && unit.olderThan(settings.cold, now)) return true;
@@ -558,10 +546,7 @@
         consider();
     }
 
-    /**
-     * A unit that is full, out of reach or called off says nothing of its build. Time-outs are slowness, for
-     * KS.
-     */
+    /** Full, out of reach or called off says nothing of a build; time-outs are slowness, for KS. */
     private static boolean unusable(Pick pick) {
         return pick.outcome != null && pick.outcome.neverRan || pick.outcome == Outcome.CANCELLED;
     }
@@ -571,11 +556,9 @@
         return ms / (pick.rpc.hint != null ? Math.max(pick.rpc.hint.ms(), 1) : usualMs(pick.rpc.method));
     }
 
-    // ---- (6) evidence where pairs can't see
-
     /**
-     * What the release desk counted shows builds bad for methods that are never copied. It counts time-outs
-     * as failures too, so an error that this relay saw itself must bear it out.
+     * (6) The release desk's counts show builds bad for methods that are never copied. They hold time-outs
+     * too, so an error that this relay saw itself must bear them out.
      */
     public void counted(Build build, Method method, double picks, double failed) {
         if (offer == null || build.number > offer.build.number) return;
@@ -630,9 +613,8 @@
     /**
      * A build may slow old and new units alike, and then every pair matches. So where the earlier build runs
      * slower than before the offer, copies stop for a while: if the pace comes back, and goes again as copies
-     * do, the slowdown follows exposure and the build is to blame; else something else is, and the build is
-     * excused until the pace is good again. All relays see the same slowdown, so they stop together. Harms
-     * where an outside slowdown comes in step.
+     * do, it follows exposure and the build is to blame; else the build is excused until the pace is good.
+     * All relays see the same, so they stop together. Harms where an outside slowdown comes in step.
      */
     private void watchPace(Moment now) {
         if (pace(now) < 0.2) {
@@ -678,16 +660,12 @@
     private void look() {
         Moment now = host.now();
         if (settings.ask && now.since(lastAsked).over(settings.askWithin.times(0.5))) subscribe();
-        if (offer != null) {
-            consider();
-            tellPeers(now);
-        }
+        consider();
+        tellPeers(now);
         host.wake(now.plus(Span.ofMs(100)), this::look); // well under a stage's shortest time
     }
 
-    /**
-     * On trial, or released a short while ago: fifteen seconds, in which what all traffic shows has shown.
-     */
+    /** On trial, or released under fifteen seconds ago: by then what all traffic shows has shown. */
     private boolean watched(Moment now) {
         boolean fresh = standing == Standing.RELEASED && offer.tried && !longerThan(15000, offer.since, now);
         return standing == Standing.ON_TRIAL || fresh;
@@ -718,8 +696,7 @@
 
     /**
      * After 20 pairs or at the fallback age. Where one vote moves the stage, relays that saw little leave it
-     * to others for two seconds more; the last stage, which lets all in, waits for a KS test or three seconds
-     * more.
+     * to others for two seconds more; the last stage waits for a KS test, or three seconds more.
      */
     private boolean mayMoveOn(Moment now) {
         Evidence seen = offer.evidence;
--- a/src/test/java/sprucerock/PolicyTest.java
+++ b/src/test/java/sprucerock/PolicyTest.java
@@ -171,6 +171,20 @@
         assertSame(third.picks.get(0).unit.build, host.old);
     }
 
+    @Test
+    public void earlierUnitsThatComeBackBeforeTheNewsGetNoKey() {
+        FakeHost host = new FakeHost(ONE_WAY).with(2).offering(4, 2, 1.0);
+        host.policy.newsOfBuild(host.fresh, 2, Standing.RELEASED, 1, host.now());
+        for (Unit unit : java.util.List.copyOf(host.old.units)) host.policy.unitLeaving(unit);
+        host.rpc(0, 7, 4000);
+        host.pass(50);
+        host.endAll(Outcome.OK, Outcome.OK);
+        for (Unit unit : java.util.List.copyOf(host.fresh.units)) host.policy.unitLeaving(unit);
+        host.unit(host.old, host.now().minus(Span.ofMs(9000)));
+        host.rpc(0, 7, 4000);
+        assertEquals(host.sentTo(host.old), 0);
+    }
+
     @Test
     public void popularKeyIsNotPinned() {
         FakeHost host = new FakeHost(ONE_WAY).with(4);
