--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -268,14 +268,17 @@
         return method.took.at(host.now(), method.softDeadline.ms() / 6, 1); // a guess until answers come
     }
 
-    /** Silence: the unit is marked and, where copies may run side by side, another pick is made. */
+    /**
+     * Silence: no answer from the unit since. It is marked and, where copies may run, another pick is made.
+     */
     private void overdue(Pick pick) {
         if (pick.outcome != null) return;
         pick.overdue = true;
-        note(pick.unit, false);
+        boolean silent = pick.unit.lastAnswer == null || pick.sent.after(pick.unit.lastAnswer);
+        if (silent) note(pick.unit, false);
         pick.unit.pace.add(host.now(), 3);
         if (pick.pair != null) judge(pick.pair);
-        if (settings.secondCopies && pick.rpc.out == 1) tryAgain(pick.rpc);
+        if (silent && settings.secondCopies && pick.rpc.out == 1) tryAgain(pick.rpc);
     }
 
     private boolean budgetHasRoom() {
@@ -320,6 +323,7 @@
         if (pick.copy) copiesOut--;
         boolean tells = pick.outcome != Outcome.CANCELLED && pick.outcome != Outcome.MOOT;
         if (tells && (ok || !pick.overdue)) note(pick.unit, ok);
+        if (ok || pick.erred()) pick.unit.lastAnswer = now;
         if (ok) learnPace(pick);
         if (isOffered(pick.unit.build)) seenAtOffered(pick);
         if (pick.pair != null) judge(pick.pair);
--- a/src/main/java/sprucerock/model/Unit.java
+++ b/src/main/java/sprucerock/model/Unit.java
@@ -21,6 +21,7 @@
     private int outcomes;
     private int seen;
     public Moment retryAt;
+    public Moment lastAnswer;
     public DecayingMean pace;
     public double coldTokens;
     public Moment coldAsOf;
