--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -391,11 +391,8 @@
             // beside what the others send: of a customer at thrice its share, two RPCs in three are over it
             if (own > 1.2 * fair && chance.next() > fair / own) worth *= settings.overShareWorth;
         }
-        // a quarter to half of the soft deadline, as what is left must hold the work itself and its long
-        // tail; but on slow units, where that is no long wait, twice the usual
-        double aim = rpc.method.softDeadline.ms();
-        double usual = Math.exp(rpc.method.logBefore.at(now, 0, 1e-9)) * (rpc.hint == null ? 1 : rpc.hint.ms());
-        return waitMs > Math.max(aim * (0.25 + 0.3 * worth), Math.min(2 * usual, 0.6 * aim) * Math.sqrt(worth));
+        // a quarter to half of the soft deadline: what is left must hold the work itself and its long tail
+        return waitMs > rpc.method.softDeadline.ms() * (0.25 + 0.3 * worth);
     }
 
     /** Once a build is released every key counts as bound to it: the list may show earlier units come back
@@ -661,7 +658,7 @@
         else if (offer.slowSince == null) offer.slowSince = now;
         boolean many = erring >= Math.max(3, 0.6 * offer.build.units.size());
         return many && seen.errors >= 5 && seen.errors > 0.02 * seen.ended
-            || longerThan(6000, offer.slowSince, now);
+            || longerThan(8000, offer.slowSince, now);
     }
 
     private void look() {
