--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -550,9 +550,10 @@
         consider();
     }
 
-    /** Full, out of reach or called off says nothing of a build; time-outs are slowness, for KS. */
+    /** Full, out of reach, called off or cut off says nothing of a build; time-outs are slowness, for KS. */
     private static boolean unusable(Pick pick) {
-        return pick.outcome != null && pick.outcome.neverRan || pick.outcome == Outcome.CANCELLED;
+        return pick.outcome != null && pick.outcome.neverRan || pick.outcome == Outcome.CANCELLED
+            || pick.outcome == Outcome.BROKEN;
     }
 
     private double tookOf(Pick pick, Moment now) {
--- a/src/main/java/sprucerock/model/Pick.java
+++ b/src/main/java/sprucerock/model/Pick.java
@@ -29,8 +29,8 @@
         return outcome == null || !outcome.neverRan;
     }
 
-    /** The unit answered with an error or broke off: no time-out, no full or missing unit. */
+    /** The unit answered with an error: no time-out, no broken connection, no full or missing unit. */
     public boolean erred() {
-        return outcome == Outcome.ERROR || outcome == Outcome.BROKEN;
+        return outcome == Outcome.ERROR;
     }
 }
