--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -618,8 +618,8 @@
     /**
      * A build may slow old and new units alike, and then every pair matches. So where the earlier build runs
      * slower than before the offer, copies stop for a while: if the pace comes back, and goes again as copies
-     * do, it follows exposure and the build is to blame; else the build is excused until the pace is good.
-     * All relays see the same, so they stop together. Harms where an outside slowdown comes in step.
+     * do, twice, it follows exposure and the build is to blame; else the build is excused until the pace is
+     * good. All relays see the same, so they stop together. Harms where an outside slowdown comes in step.
      */
     private void watchPace(Moment now) {
         if (pace(now) < 0.2) {
@@ -633,7 +633,7 @@
             offer.slowSince = now;
         }
         if (offer.pausedAt == null && !offer.excused && longerThan(700, offer.slowSince, now)) {
-            offer.blamed |= offer.resumedAt != null && !longerThan(5000, offer.resumedAt, now);
+            offer.blames += offer.resumedAt != null && !longerThan(5000, offer.resumedAt, now) ? 1 : 0;
             offer.pausedAt = now;
         }
         if (longerThan(5000, offer.pausedAt, now)) { // twice what queues of a soft deadline need to drain
@@ -689,7 +689,7 @@
         double stray = 1.5 * Math.sqrt(pooled[1] + pooled[2]);
         boolean failing = lead >= 3 && lead > 0.01 * pooled[0] && lead > stray;
         if (!released) watchPace(now);
-        if (failing || seen.slower || seen.counted || offer.blamed || released && failsAfterRelease(now)) {
+        if (failing || seen.slower || seen.counted || offer.blames > 1 || released && failsAfterRelease(now)) {
             vote(Verdict.BACK);
         } else if (!released && settings.control == Settings.Control.CLOCKED) {
             if (lead > 0 || inDoubt(now)) vote(Verdict.HOLD);
@@ -733,7 +733,7 @@
             Evidence seen = offer.evidence;
             host.log("vote " + verdict + " on " + offer.build.number + " at stage " + offer.stage + ": pairs "
                 + Arrays.toString(offer.pooled()) + (seen.slower ? ", slower" : "")
-                + (seen.counted ? ", counted" : "") + (offer.blamed ? ", blamed" : "")
+                + (seen.counted ? ", counted" : "") + (offer.blames > 1 ? ", blamed" : "")
                 + ", timed " + seen.timed + ", pace " + pace(now) + ", errors " + seen.errors);
         }
         cast = verdict;
--- a/src/main/java/sprucerock/model/Offer.java
+++ b/src/main/java/sprucerock/model/Offer.java
@@ -27,7 +27,8 @@
     public Moment pausedAt;
     public Moment resumedAt;
     public boolean excused;
-    public boolean blamed;
+    /** How often the units off trial were slow again soon after the copies went on. */
+    public int blames;
     /** Keys that the build has answered here, and the share of the traffic that these were seen to have. */
     public final Map<Long, Build> pins = new HashMap<>();
     public double pinnedShare;
