Pushback marks by the mean soft deadline

The method with the shortest soft deadline and little utility bore all pushbacks; now those of one utility are pushed back alike.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -40,6 +40,7 @@
     private final DecayingMean slowness = new DecayingMean(Span.ofMs(3000));
     private int timely;
     private double mostUtility;
+    private double meanSoftMs;
 
     private Verdict cast = Verdict.NONE;
     private Moment castAt;
@@ -58,6 +59,7 @@
         sharedTokens = settings.free;
         for (Method method : settings.methods) {
             mostUtility = Math.max(mostUtility, method.utility);
+            meanSoftMs += method.softDeadline.ms() / settings.methods.size();
             method.took = new DecayingMean(Span.ofMs(10000));
             method.logBefore = new DecayingMean(Span.ofMs(20000));
             method.trialTokens = settings.free;
@@ -392,7 +394,7 @@
             if (own > 1.2 * fair && chance.next() > fair / own) worth *= settings.overShareWorth;
         }
         // a quarter to half of the soft deadline: what is left must hold the work itself and its long tail
-        return waitMs > rpc.method.softDeadline.ms() * (0.25 + 0.3 * worth);
+        return waitMs > meanSoftMs * (0.25 + 0.3 * worth);
     }
 
     /** Once a build is released every key counts as bound to it: the list may show earlier units come back
