No load reports in the cost, retry budget of one in twenty

Reports are late and seen by all relays alike, so they herd; and on one-core units a second pick costs more than it saves.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -285,8 +285,8 @@
 
     private boolean budgetHasRoom() {
         Moment now = host.now();
-        // one in seven: enough for a lost unit, no storm
-        return repeats.at(now) < 2 + 0.15 * arrivals.at(now);
+        // one in twenty: enough to find a lost unit, no storm
+        return repeats.at(now) < 1 + 0.05 * arrivals.at(now);
     }
 
     /** Rule 2: whether the RPC may be picked again at all. */
@@ -457,10 +457,8 @@
 
     private double cost(Unit unit) {
         Moment now = host.now();
-        boolean told = unit.reportedAt != null && Span.ofMs(2000).over(now.since(unit.reportedAt));
-        double load = told ? Math.max(unit.out, unit.reportedLoad) : unit.out;
         double far = unit.zone == settings.zone ? 1 : 1.1; // a tie goes to the relay's own zone
-        return (1 + load / Math.max(unit.weight, 0.1)) * unit.pace.at(now, 1, 2) * (1 + unit.failed(6)) * far;
+        return (1 + unit.out / Math.max(unit.weight, 0.1)) * unit.pace.at(now, 1, 2) * (1 + unit.failed(6)) * far;
     }
 
     /** (2) By the successes among its last six outcomes: under half of at least three, it is left alone. */
