--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -174,8 +174,7 @@
             offer.evidence.singles[rpc.method.index]++;
             return;
         }
-        Unit home = choose(rpc, false);
-        if (home == null) home = choose(rpc, true);
+        Unit home = chooseAny(rpc);
         if (home == null) {
             giveUp(rpc);
             return;
@@ -284,15 +283,14 @@
     }
 
     private boolean budgetHasRoom() {
-        Moment now = host.now();
         // one in twenty: enough to find a lost unit, no storm
-        return repeats.at(now) < 1 + 0.05 * arrivals.at(now);
+        return repeats.at(host.now()) < 1 + 0.05 * arrivals.at(host.now());
     }
 
     /** Rule 2: whether the RPC may be picked again at all. */
     private boolean mayRepeat(Rpc rpc) {
-        if (rpc.ended || rpc.streaming || rpc.picks.size() >= settings.maxPicks) return false;
-        if (!settings.secondCopies && rpc.out > 0) return false;
+        boolean barred = !settings.secondCopies && rpc.out > 0 || rpc.picks.size() >= settings.maxPicks;
+        if (rpc.ended || rpc.streaming || barred) return false;
         Pick first = rpc.firstThatMayHaveRun();
         if (first == null || rpc.method.idempotent()) return true;
         return rpc.method.effect == Method.Effect.TOKENED
@@ -300,10 +298,9 @@
     }
 
     private boolean tryAgain(Rpc rpc) {
-        if (!mayRepeat(rpc) || !budgetHasRoom()) return false;
-        if (settings.tick.times(4).over(rpc.deadline.since(host.now()))) return false;
-        Unit unit = choose(rpc, false);
-        if (unit == null) unit = choose(rpc, true);
+        boolean late = settings.tick.times(4).over(rpc.deadline.since(host.now()));
+        if (late || !mayRepeat(rpc) || !budgetHasRoom()) return false;
+        Unit unit = chooseAny(rpc);
         if (unit == null) return false;
         repeats.add(host.now(), 1);
         send(rpc, unit);
@@ -397,13 +394,17 @@
         return waitMs > meanSoftMs * (0.25 + 0.3 * worth);
     }
 
-    /** Once a build is released every key counts as bound to it: the list may show earlier units come back
-     * before the desk tells that it goes back. */
+    /** Once released, a build has every key: earlier units may be listed before news that it goes back. */
     private Build pinOf(long key) {
         if (offer == null || !settings.oneWayKeys || key == 0) return null;
         return standing == Standing.RELEASED ? offer.build : offer.pins.get(key);
     }
 
+    private Unit chooseAny(Rpc rpc) {
+        Unit unit = choose(rpc, false);
+        return unit != null ? unit : choose(rpc, true);
+    }
+
     /** Of the newest build that is not on trial, else of an earlier one; or, as told, of one on trial too. */
     private Unit choose(Rpc rpc, boolean trialToo) {
         Build pin = pinOf(rpc.key);
@@ -447,18 +448,17 @@
 
     /** The design's two random choices; the one with the lower expected wait. */
     private Unit twoChoices(List<Unit> units) {
-        if (units.isEmpty()) return null;
+        if (units.size() < 2) return units.isEmpty() ? null : units.get(0);
         int one = (int) (chance.next() * units.size());
-        if (units.size() == 1) return units.get(0);
         int two = (int) (chance.next() * (units.size() - 1));
         if (two >= one) two++;
         return cost(units.get(one)) <= cost(units.get(two)) ? units.get(one) : units.get(two);
     }
 
     private double cost(Unit unit) {
-        Moment now = host.now();
         double far = unit.zone == settings.zone ? 1 : 1.1; // a tie goes to the relay's own zone
-        return (1 + unit.out / Math.max(unit.weight, 0.1)) * unit.pace.at(now, 1, 2) * (1 + unit.failed(6)) * far;
+        double load = 1 + unit.out / Math.max(unit.weight, 0.1);
+        return load * unit.pace.at(host.now(), 1, 2) * (1 + unit.failed(6)) * far;
     }
 
     /** (2) By the successes among its last six outcomes: under half of at least three, it is left alone. */
@@ -581,9 +581,8 @@
 
     /** A wrong answer that a client reported stands as a failed copy beside an ok primary, or the reverse. */
     public void flagged(Unit unit) {
-        if (offer == null) return;
-        if (isOffered(unit.build)) offer.evidence.freshFailed++;
-        else offer.evidence.earlierFailed++;
+        if (offer != null && isOffered(unit.build)) offer.evidence.freshFailed++;
+        else if (offer != null) offer.evidence.earlierFailed++;
         consider();
     }
 
@@ -599,8 +598,7 @@
     }
 
     public void peerTold(int sender, byte[] contents) {
-        if (offer == null || contents.length != 5) return;
-        offer.peers.put(sender, contents);
+        if (offer != null && contents.length == 5) offer.peers.put(sender, contents);
         consider();
     }
 
@@ -689,7 +687,8 @@
         double stray = 1.5 * Math.sqrt(pooled[1] + pooled[2]);
         boolean failing = lead >= 3 && lead > 0.01 * pooled[0] && lead > stray;
         if (!released) watchPace(now);
-        if (failing || seen.slower || seen.counted || offer.blames > 1 || released && failsAfterRelease(now)) {
+        boolean proven = failing || seen.slower || seen.counted || offer.blames > 1;
+        if (proven || released && failsAfterRelease(now)) {
             vote(Verdict.BACK);
         } else if (!released && settings.control == Settings.Control.CLOCKED) {
             if (lead > 0 || inDoubt(now)) vote(Verdict.HOLD);
@@ -732,9 +731,8 @@
         } else {
             Evidence seen = offer.evidence;
             host.log("vote " + verdict + " on " + offer.build.number + " at stage " + offer.stage + ": pairs "
-                + Arrays.toString(offer.pooled()) + (seen.slower ? ", slower" : "")
-                + (seen.counted ? ", counted" : "") + (offer.blames > 1 ? ", blamed" : "")
-                + ", timed " + seen.timed + ", pace " + pace(now) + ", errors " + seen.errors);
+                + Arrays.toString(offer.pooled()) + ", slower " + seen.slower + ", counted " + seen.counted
+                + ", blames " + offer.blames + ", pace " + pace(now) + ", errors " + seen.errors);
         }
         cast = verdict;
         castAt = now;
--- a/src/main/java/sprucerock/host/Host.java
+++ b/src/main/java/sprucerock/host/Host.java
@@ -42,7 +42,5 @@
 
     void subscribe();
 
-    void fetchUnits();
-
     void log(String line);
 }
