--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -390,8 +390,8 @@
             // beside what the others send: of a customer at thrice its share, two RPCs in three are over it
             if (own > 1.2 * fair && chance.next() > fair / own) worth *= settings.overShareWorth;
         }
-        // 0.3 to 0.55 of the mean soft deadline: what is left must hold the work itself and its long tail
-        return waitMs > meanSoftMs * (0.3 + 0.25 * worth);
+        // 0.25 to 0.55 of the mean soft deadline: what is left must hold the work itself and its long tail
+        return waitMs > meanSoftMs * (0.25 + 0.3 * worth);
     }
 
     /** Once released, a build has every key: earlier units may be listed before news that it goes back. */
