Votes by the desk's counts at quiet relays; one relay adds up who is loaded and tells all

(2) Quiet relays see no queues, so two choices are blind. Messages grow with the relays, not with their square.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -29,6 +29,12 @@
     private double cap;
     private double sharedTokens;
     private int copiesOut;
+    private final TreeMap<Integer, Unit> marked = new TreeMap<>();
+    private int hub;
+    private Moment loadsAt;
+    private Moment addedAt;
+    private Moment sumUpAt;
+    private int singles;
     private Moment weighedAt;
     private double warm;
     private double all;
@@ -65,6 +71,7 @@
             meanSoftMs += method.softDeadline.ms() / settings.methods.size();
             method.took = new DecayingMean(Span.ofMs(10000));
             method.logBefore = new DecayingMean(Span.ofMs(20000));
+            method.countedBefore = new DecayingMean(Span.ofMs(20000));
             method.trialTokens = settings.free;
         }
         if (settings.ask) subscribe();
@@ -76,6 +83,8 @@
         unit.ready = true;
         if (unit.pace == null) unit.pace = new DecayingMean(Span.ofMs(4000));
         unit.build.add(unit);
+        marked.put(unit.mark(), unit);
+        if (unit.elsewhere == null) unit.elsewhere = new DecayingSum(Span.ofMs(4 * meanSoftMs));
         builds.put(unit.build.number, unit.build);
         unit.coldTokens = chance.next(); // relays learn of a unit together, their first tokens come one by one
         unit.coldAsOf = host.now();
@@ -108,7 +117,10 @@
             offer.since = since;
             offer.slowSince = null;
             offer.evidence = new Evidence(settings.methods.size(), 80);
+            // forty by all relays together, the rest by chance; each harms if the build is bad
+            singles = (int) (Math.min(10, 40.0 / settings.relays) + chance.next());
             offer.poolAnew();
+            if (newStanding == Standing.RELEASED) offer.countAnew();
             for (Unit unit : build.units) unit.excess = 0;
             cast = Verdict.NONE;
         }
@@ -226,7 +238,7 @@
         // (6) A build bad for one method with effects shows in no copy: from the second stage on, ten such
         // RPCs a method and stage go there alone; where one in four fails, ten give the mark's three about
         // half the time.
-        return offer.stage > 0 && evidence.singles[rpc.method.index] < 10;
+        return offer.stage > 0 && evidence.singles[rpc.method.index] < singles;
     }
 
     /**
@@ -259,6 +271,7 @@
             && rpc.picks.size() + 1 < settings.maxPicks && rpc.deadline.since(now).over(lost.times(1.5));
         Pick pick = new Pick(rpc, unit, now, cut ? lost : null);
         host.send(pick);
+        report(unit, 1);
         host.wake(now.plus(overdue), () -> overdue(pick));
         return pick;
     }
@@ -328,6 +341,7 @@
         if (answers) settle(rpc);
         if (answers && ok) answered.add(now, 1);
         if (pick.copy) copiesOut--;
+        report(pick.unit, -1);
         boolean tells = pick.outcome != Outcome.CANCELLED && pick.outcome != Outcome.MOOT;
         if (tells && (ok || !pick.overdue)) note(pick.unit, ok);
         if (ok || pick.erred()) pick.unit.lastAnswer = now;
@@ -465,7 +479,8 @@
     /** The expected wait, as far as this relay's own picks tell. */
     private double cost(Unit unit) {
         double far = unit.zone == settings.zone ? 1 : 1.1; // a tie goes to the relay's own zone
-        double load = 1 + unit.out / Math.max(unit.weight, 0.1);
+        boolean told = loadsAt != null && unit.loadAt == loadsAt && !longerThan(1000, loadsAt, host.now());
+        double load = 1 + Math.max(unit.out, told ? unit.load : 0) / Math.max(unit.weight, 0.1);
         return load * unit.pace.at(host.now(), 1, 2) * (1 + unit.failed(6)) * far;
     }
 
@@ -489,12 +504,16 @@
         if (onTrial(pick.unit.build)) return;
         method.took.add(now, ms);
         double log = Math.log(ms / (pick.rpc.hint == null ? 1 : Math.max(pick.rpc.hint.ms(), 1)));
+        seePace(method.logBefore, log, 1);
+    }
+
+    private void seePace(DecayingMean before, double log, double weight) {
+        Moment now = host.now();
         if (!longerThan(2000, started, now)) return; // a fleet that just woke has no queues yet
         if (!watched(now) || offer.stage == 0) { // the first stage's few picks slow nothing much yet
-            method.logBefore.add(now, log);
-            method.logCount++;
-        } else if (method.logCount >= 5) {
-            slowness.add(now, log - method.logBefore.at(now, 0, 1e-9));
+            before.add(now, log, weight);
+        } else if (before.count(now) >= 2) {
+            slowness.add(now, log - before.at(now, 0, 1e-9), weight);
         }
     }
 
@@ -575,23 +594,35 @@
     }
 
     /**
-     * (6) The release desk's counts show builds bad for methods that are never copied. They hold time-outs
-     * too, so an error that this relay saw itself must bear them out.
+     * (6) The release desk's counts show builds bad for methods that are never copied, and to relays that see
+     * few RPCs the pace of the earlier build. They hold time-outs too, so an error that a pick or a peer's
+     * pair showed must bear them out.
      */
-    public void counted(Build build, Method method, double picks, double failed) {
+    public void counted(Build build, Method method, double picks, double failed, Span mean) {
+        if (!onTrial(build) && quiet() && picks > failed) {
+            seePace(method.countedBefore, Math.log(Math.max(mean.ms(), 1)), picks - failed);
+        }
         if (offer == null || build.number > offer.build.number) return;
         double[] fresh = offer.freshCounts[method.index];
         double[] earlier = offer.earlierCounts[method.index];
         double[] counts = isOffered(build) ? fresh : earlier;
         counts[0] += picks;
         counts[1] += failed;
-        if (fresh[0] < 12 || fresh[1] < 3 || !offer.erred || standing == Standing.RELEASED) return;
-        // 3.5 standard errors: one look in four thousand by chance, and there are tens of looks a day
-        double mark = Math.max(0.05, 3.5 * Shares.error(fresh[1], fresh[0], earlier[1], earlier[0]));
+        boolean borneOut = offer.erred || offer.pooled()[1] > 0;
+        if (fresh[0] < 12 || fresh[1] < 3 || !borneOut) return;
+        // 3.5 standard errors: one look in four thousand by chance, and there are tens of looks a day; after
+        // the release nothing runs beside it, and up to a fifth of the units may fail for other reasons
+        double mark = Math.max(standing == Standing.RELEASED ? 0.25 : 0.05,
+            3.5 * Shares.error(fresh[1], fresh[0], earlier[1], earlier[0]));
         offer.evidence.counted |= fresh[1] / fresh[0] - earlier[1] / Math.max(earlier[0], 1) > mark;
         consider();
     }
 
+    /** Sees too few RPCs to judge the pace of a fleet by itself within some seconds. */
+    private boolean quiet() {
+        return settings.countsEvery.over(Span.ZERO) && arrivals.perSecond(host.now()) < 10;
+    }
+
     /** A wrong answer that a client reported stands as a failed copy beside an ok primary, or the reverse. */
     public void flagged(Unit unit) {
         if (offer != null && isOffered(unit.build)) offer.evidence.freshFailed++;
@@ -611,9 +642,76 @@
     }
 
     public void peerTold(int sender, byte[] contents) {
-        if (offer == null || contents.length != 5) return;
-        offer.heard(sender, contents);
-        consider();
+        if (contents.length < 2) return;
+        if (contents[0] == PICK) added(contents);
+        else if (contents[0] == LOADS) loadsTold(sender, contents);
+        else if (offer != null && contents.length == 6) {
+            offer.heard(sender, contents);
+            consider();
+        }
+    }
+
+    private static final byte PICK = 1;
+    private static final byte LOADS = 2;
+
+    /**
+     * Quiet relays see no queue of a unit. So each tells one relay of its picks as they start and end, and this
+     * one tells all, four times a second, which units hold two or more. Where that relay is silent, the next one
+     * is told; of several the lowest is believed. With all messages lost, relays go by their own picks.
+     */
+    private void report(Unit unit, int change) {
+        if (!settings.peers) return;
+        if (loadsAt == null || longerThan(2000, loadsAt, host.now())) {
+            loadsAt = host.now();
+            if (addedAt != null) hub = (hub + 1) % settings.relays;
+            addedAt = host.now();
+        }
+        byte[] told = {PICK, (byte) unit.mark(), (byte) (unit.mark() >> 8), (byte) change};
+        if (hub == settings.index) added(told);
+        else host.tellPeer(hub, told);
+    }
+
+    private void added(byte[] told) {
+        Unit unit = marked.get(told[1] & 0xff | (told[2] & 0xff) << 8);
+        if (unit != null) unit.elsewhere.add(host.now(), told[3]);
+        if (sumUpAt == null) {
+            sumUpAt = host.now();
+            host.wake(host.now().plus(Span.ofMs(250)), this::sumUp);
+        }
+    }
+
+    private void sumUp() {
+        Moment now = host.now();
+        sumUpAt = null;
+        List<Unit> loaded = new ArrayList<>();
+        for (Unit unit : marked.values()) {
+            unit.load = (int) Math.round(Math.max(0, unit.elsewhere.at(now)));
+            if (unit.ready && unit.load >= 2) loaded.add(unit);
+        }
+        loaded.sort((a, b) -> b.load - a.load);
+        int most = Math.min(loaded.size(), 84);
+        byte[] told = new byte[2 + 3 * most];
+        told[0] = LOADS;
+        for (int i = 0; i < most; i++) {
+            told[2 + 3 * i] = (byte) loaded.get(i).mark();
+            told[3 + 3 * i] = (byte) (loaded.get(i).mark() >> 8);
+            told[4 + 3 * i] = (byte) Math.min(loaded.get(i).load, 127);
+        }
+        host.tellPeers(told);
+        loadsTold(settings.index, told);
+    }
+
+    private void loadsTold(int sender, byte[] told) {
+        boolean stale = loadsAt == null || longerThan(1000, loadsAt, host.now());
+        if (sender > hub && !stale) return;
+        hub = sender;
+        loadsAt = host.now();
+        for (int i = 2; i + 2 < told.length; i += 3) {
+            Unit unit = marked.get(told[i] & 0xff | (told[i + 1] & 0xff) << 8);
+            if (unit == null) continue;
+            unit.load = told[i + 2];
+            unit.loadAt = loadsAt;
+        }
     }
 
     /** How slow units off trial are beside before the offer: a mean of logarithms, tails count little. */
--- a/src/main/java/sprucerock/host/Host.java
+++ b/src/main/java/sprucerock/host/Host.java
@@ -40,6 +40,9 @@
     /** A short message to every other relay; it may come late or never. */
     void tellPeers(byte[] contents);
 
+    /** The same to one relay, by its number. */
+    void tellPeer(int relay, byte[] contents);
+
     void subscribe();
 
     void log(String line);
--- a/src/main/java/sprucerock/model/Evidence.java
+++ b/src/main/java/sprucerock/model/Evidence.java
@@ -33,7 +33,7 @@
     /** The counts of the pairs, to be told to peers. */
     public byte[] report(int build, int stage) {
         told = pairs;
-        return new byte[] {(byte) build, (byte) stage, (byte) Math.min(pairs, 255),
+        return new byte[] {3, (byte) build, (byte) stage, (byte) Math.min(pairs, 255),
             (byte) Math.min(freshFailed, 255), (byte) Math.min(earlierFailed, 255)};
     }
 
--- a/src/main/java/sprucerock/model/Method.java
+++ b/src/main/java/sprucerock/model/Method.java
@@ -22,7 +22,7 @@
      */
     public DecayingMean took;
     public DecayingMean logBefore;
-    public int logCount;
+    public DecayingMean countedBefore;
     /** Picks that may go to a build on trial. */
     public double trialTokens;
 
--- a/src/main/java/sprucerock/model/Offer.java
+++ b/src/main/java/sprucerock/model/Offer.java
@@ -54,9 +54,14 @@
         for (byte[] report : peers.values()) count(report, 1);
     }
 
+    /** Forgets what was counted at this build so far. */
+    public void countAnew() {
+        for (double[] counts : freshCounts) java.util.Arrays.fill(counts, 0);
+    }
+
     private void count(byte[] report, int times) {
-        boolean same = report != null && report[0] == (byte) build.number && report[1] == (byte) stage;
-        for (int i = 0; same && i < 3; i++) toldPairs[i] += times * (report[2 + i] & 0xff);
+        boolean same = report != null && report[1] == (byte) build.number && report[2] == (byte) stage;
+        for (int i = 0; same && i < 3; i++) toldPairs[i] += times * (report[3 + i] & 0xff);
     }
 
     public Offer(Build build, int methods) {
--- a/src/main/java/sprucerock/model/Settings.java
+++ b/src/main/java/sprucerock/model/Settings.java
@@ -36,6 +36,9 @@
     public final boolean oneWayKeys;
     public final Span voteLife;
     public final Span callTimeout;
+    public final int relays;
+    public final int index;
+    public final Span countsEvery;
 
     private final Map<String, String> pairs;
 
@@ -78,6 +81,9 @@
         oneWayKeys = optionalText("specifics.keys_stay", "false").equals("true");
         voteLife = span("specifics.ballot_ttl");
         callTimeout = span("specifics.call_timeout");
+        index = (int) number("index");
+        relays = (int) number("balancers");
+        countsEvery = Span.ofMs(optional("specifics.sums_every", 0));
         pairs.clear();
     }
 
--- a/src/main/java/sprucerock/sim/Relay.java
+++ b/src/main/java/sprucerock/sim/Relay.java
@@ -224,11 +224,11 @@
         int method = f.getShort() & 0xffff;
         long picks = u32(f);
         long failed = u32(f);
-        f.getDouble();
+        Span mean = Span.ofMs(f.getDouble());
         f.getDouble();
         return () -> {
             Build build = builds.get(number);
-            if (build != null) policy.counted(build, settings.methods.get(method), picks, failed);
+            if (build != null) policy.counted(build, settings.methods.get(method), picks, failed, mean);
         };
     }
 
@@ -353,6 +353,11 @@
         open(80).u16(0xffff).bytes(contents).close();
     }
 
+    @Override
+    public void tellPeer(int relay, byte[] contents) {
+        open(80).u16(relay).bytes(contents).close();
+    }
+
     @Override
     public void subscribe() {
         open(110).u8(1).close();
--- a/src/main/java/sprucerock/stats/DecayingMean.java
+++ b/src/main/java/sprucerock/stats/DecayingMean.java
@@ -14,8 +14,12 @@
     }
 
     public void add(Moment now, double value) {
-        sum.add(now, value);
-        count.add(now, 1);
+        add(now, value, 1);
+    }
+
+    public void add(Moment now, double value, double weight) {
+        sum.add(now, value * weight);
+        count.add(now, weight);
     }
 
     public double count(Moment now) {
--- a/src/test/java/sprucerock/FakeHost.java
+++ b/src/test/java/sprucerock/FakeHost.java
@@ -32,6 +32,7 @@
         classes.2.on_time=2000.0
         classes.2.worth=3.0
         membership_mode=push
+        index=0
         my_zone=0
         obligations.ask_within=10000.0
         obligations.cold=3900.0
@@ -63,6 +64,8 @@
     final List<Rpc> aborted = new ArrayList<>();
     final List<Verdict> votes = new ArrayList<>();
     final List<byte[]> told = new ArrayList<>();
+    final List<byte[]> toldOne = new ArrayList<>();
+    final List<Integer> toldTo = new ArrayList<>();
     int subscriptions;
     final Settings settings;
     final Policy policy;
@@ -208,6 +211,12 @@
         told.add(contents);
     }
 
+    @Override
+    public void tellPeer(int relay, byte[] contents) {
+        toldOne.add(contents);
+        toldTo.add(relay);
+    }
+
     @Override
     public void subscribe() {
         subscriptions++;
