--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -32,8 +32,11 @@
     private final TreeMap<Integer, Unit> marked = new TreeMap<>();
     private int hub;
     private Moment loadsAt;
+    private Moment digestAt;
     private Moment addedAt;
     private Moment sumUpAt;
+    private double fleetWaitMs;
+    private final DecayingSum endedAnywhere = new DecayingSum(Span.ofMs(2000));
     private int singles;
     private Moment weighedAt;
     private double warm;
@@ -271,7 +274,7 @@
             && rpc.picks.size() + 1 < settings.maxPicks && rpc.deadline.since(now).over(lost.times(1.5));
         Pick pick = new Pick(rpc, unit, now, cut ? lost : null);
         host.send(pick);
-        report(unit, 1);
+        report(unit, 0);
         host.wake(now.plus(overdue), () -> overdue(pick));
         return pick;
     }
@@ -341,7 +344,7 @@
         if (answers) settle(rpc);
         if (answers && ok) answered.add(now, 1);
         if (pick.copy) copiesOut--;
-        report(pick.unit, -1);
+        report(pick.unit, 1 + (int) Math.min(now.since(pick.sent).ms() / meanSoftMs * 32, 126));
         boolean tells = pick.outcome != Outcome.CANCELLED && pick.outcome != Outcome.MOOT;
         if (tells && (ok || !pick.overdue)) note(pick.unit, ok);
         if (ok || pick.erred()) pick.unit.lastAnswer = now;
@@ -404,6 +407,7 @@
         Moment now = host.now();
         // three more is chance
         double waitMs = 1000.0 * (timely - 3) / Math.max(answered.perSecond(now), 0.5);
+        if (loadsFresh()) waitMs = fleetWaitMs;
         double worth = rpc.method.utility / mostUtility;
         if (rpc.customer < customerArrivals.length) {
             double share = settings.customerShares.get(rpc.customer);
@@ -479,8 +483,7 @@
     /** The expected wait, as far as this relay's own picks tell. */
     private double cost(Unit unit) {
         double far = unit.zone == settings.zone ? 1 : 1.1; // a tie goes to the relay's own zone
-        boolean told = loadsAt != null && unit.loadAt == loadsAt && !longerThan(1000, loadsAt, host.now());
-        double load = 1 + Math.max(unit.out, told ? unit.load : 0) / Math.max(unit.weight, 0.1);
+        double load = 1 + Math.max(unit.out, unit.loadAt == loadsAt && loadsFresh() ? unit.load : 0) / Math.max(unit.weight, 0.1);
         return load * unit.pace.at(host.now(), 1, 2) * (1 + unit.failed(6)) * far;
     }
 
@@ -659,21 +662,28 @@
      * one tells all, four times a second, which units hold two or more. Where that relay is silent, the next one
      * is told; of several the lowest is believed. With all messages lost, relays go by their own picks.
      */
-    private void report(Unit unit, int change) {
+    private void report(Unit unit, int age) {
         if (!settings.peers) return;
         if (loadsAt == null || longerThan(2000, loadsAt, host.now())) {
             loadsAt = host.now();
             if (addedAt != null) hub = (hub + 1) % settings.relays;
             addedAt = host.now();
         }
-        byte[] told = {PICK, (byte) unit.mark(), (byte) (unit.mark() >> 8), (byte) change};
+        byte[] told = {PICK, (byte) unit.mark(), (byte) (unit.mark() >> 8), (byte) age};
         if (hub == settings.index) added(told);
         else host.tellPeer(hub, told);
     }
 
+    private boolean loadsFresh() {
+        return digestAt != null && !longerThan(1000, digestAt, host.now());
+    }
+
     private void added(byte[] told) {
         Unit unit = marked.get(told[1] & 0xff | (told[2] & 0xff) << 8);
-        if (unit != null) unit.elsewhere.add(host.now(), told[3]);
+        if (unit == null) return;
+        // a pick counts less as it ages, so that a lost message is forgotten; its end takes off what is left
+        unit.elsewhere.add(host.now(), told[3] == 0 ? 1 : -Math.exp(-(told[3] - 1) / 32.0 / 4));
+        if (told[3] > 0) endedAnywhere.add(host.now(), 1);
         if (sumUpAt == null) {
             sumUpAt = host.now();
             host.wake(host.now().plus(Span.ofMs(250)), this::sumUp);
@@ -684,14 +694,18 @@
         Moment now = host.now();
         sumUpAt = null;
         List<Unit> loaded = new ArrayList<>();
+        double out = 0;
         for (Unit unit : marked.values()) {
             unit.load = (int) Math.round(Math.max(0, unit.elsewhere.at(now)));
+            out += Math.max(0, unit.elsewhere.at(now));
             if (unit.ready && unit.load >= 2) loaded.add(unit);
         }
         loaded.sort((a, b) -> b.load - a.load);
         int most = Math.min(loaded.size(), 84);
         byte[] told = new byte[2 + 3 * most];
         told[0] = LOADS;
+        double wait = out / Math.max(endedAnywhere.perSecond(now), 1) * 1000 / meanSoftMs;
+        told[1] = (byte) Math.min(64 * wait, 127);
         for (int i = 0; i < most; i++) {
             told[2 + 3 * i] = (byte) loaded.get(i).mark();
             told[3 + 3 * i] = (byte) (loaded.get(i).mark() >> 8);
@@ -706,6 +720,8 @@
         if (sender > hub && !stale) return;
         hub = sender;
         loadsAt = host.now();
+        digestAt = loadsAt;
+        fleetWaitMs = told[1] / 64.0 * meanSoftMs;
         for (int i = 2; i + 2 < told.length; i += 3) {
             Unit unit = marked.get(told[i] & 0xff | (told[i + 1] & 0xff) << 8);
             if (unit == null) continue;
