Quiet relays push back by the fleet's wait; counts need a lead of mismatches to bear them out

Cause: a relay under ten RPCs a second can't tell a queue from chance: it pushed back 8% in healthy seconds and hardly any in an overload. The relay that adds up picks also tells the fleet's mean wait (picks out over picks ended a second). Marks 0.4 + 0.3 x utility of the mean soft deadline; 0.25 + 0.3, 0.5 + 0.3 and 0.45 + 0.5 were tried.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -407,7 +407,7 @@
         Moment now = host.now();
         // three more is chance
         double waitMs = 1000.0 * (timely - 3) / Math.max(answered.perSecond(now), 0.5);
-        if (loadsFresh()) waitMs = fleetWaitMs;
+        boolean byFleet = loadsFresh() && arrivals.perSecond(now) < 10;
         double worth = rpc.method.utility / mostUtility;
         if (rpc.customer < customerArrivals.length) {
             double share = settings.customerShares.get(rpc.customer);
@@ -417,7 +417,7 @@
             if (own > 1.2 * fair && chance.next() > fair / own) worth *= settings.overShareWorth;
         }
         // 0.25 to 0.55 of the mean soft deadline: what is left must hold the work itself and its long tail
-        return waitMs > meanSoftMs * (0.25 + 0.3 * worth);
+        return byFleet ? fleetWaitMs > meanSoftMs * (0.4 + 0.3 * worth) : waitMs > meanSoftMs * (0.25 + 0.3 * worth);
     }
 
     /** Once released, a build has every key: earlier units may be listed before news that it goes back. */
@@ -611,7 +611,9 @@
         double[] counts = isOffered(build) ? fresh : earlier;
         counts[0] += picks;
         counts[1] += failed;
-        boolean borneOut = offer.erred || offer.pooled()[1] > 0;
+        int[] pooled = offer.pooled();
+        boolean borneOut = standing == Standing.RELEASED ? offer.evidence.errors > 2
+            : settings.peers ? pooled[1] > pooled[2] : offer.erred;
         if (fresh[0] < 12 || fresh[1] < 3 || !borneOut) return;
         // 3.5 standard errors: one look in four thousand by chance, and there are tens of looks a day; after
         // the release nothing runs beside it, and up to a fifth of the units may fail for other reasons
