--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -29,6 +29,7 @@
     private double cap;
     private double sharedTokens;
     private int copiesOut;
+    private final TreeMap<Integer, DecayingMean> zonePaces = new TreeMap<>();
     private final TreeMap<Integer, Unit> marked = new TreeMap<>();
     private int hub;
     private Moment loadsAt;
@@ -302,6 +303,7 @@
         boolean silent = pick.unit.lastAnswer == null || pick.sent.after(pick.unit.lastAnswer);
         if (silent) note(pick.unit, false);
         pick.unit.pace.add(host.now(), 3);
+        zonePace(pick.unit).add(host.now(), 3);
         if (pick.pair != null) judge(pick.pair);
         if (silent && settings.secondCopies && pick.rpc.out == 1) tryAgain(pick.rpc);
     }
@@ -461,7 +463,7 @@
                 repeats.add(now, 1);
                 return unit;
             }
-            if (sick(unit)) {
+            if (sick(unit) || farOff(unit)) {
                 rest = unit;
             } else if (one == null) {
                 one = unit;
@@ -481,6 +483,17 @@
     }
 
     /** The expected wait, as far as this relay's own picks tell. */
+    private DecayingMean zonePace(Unit unit) {
+        return zonePaces.computeIfAbsent(unit.zone, zone -> new DecayingMean(Span.ofMs(8000)));
+    }
+
+    /** A slow or lossy link: RPCs to a zone take twice as long as those inside the relay's own. */
+    private boolean farOff(Unit unit) {
+        if (unit.zone == settings.zone || !zonePaces.containsKey(settings.zone)) return false;
+        Moment now = host.now();
+        return zonePace(unit).at(now, 1, 1) > 1.8 * zonePaces.get(settings.zone).at(now, 1, 1);
+    }
+
     private double cost(Unit unit) {
         double far = unit.zone == settings.zone ? 1 : 1.1; // a tie goes to the relay's own zone
         double load = 1 + Math.max(unit.out, unit.loadAt == loadsAt && loadsFresh() ? unit.load : 0) / Math.max(unit.weight, 0.1);
@@ -504,6 +517,7 @@
         Method method = pick.rpc.method;
         double ms = Math.max(pick.took.ms(), 1);
         pick.unit.pace.add(now, Math.min(ms / usualMs(method), 8));
+        zonePace(pick.unit).add(now, Math.min(ms / usualMs(method), 8));
         if (onTrial(pick.unit.build)) return;
         method.took.add(now, ms);
         double log = Math.log(ms / (pick.rpc.hint == null ? 1 : Math.max(pick.rpc.hint.ms(), 1)));
