--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -408,7 +408,7 @@
     private boolean overloaded(Rpc rpc) {
         Moment now = host.now();
         // three more is chance
-        double waitMs = 1000.0 * (timely - 3) / Math.max(answered.perSecond(now), 0.5);
+        double waitMs = 1000.0 * (timely - 3) / Math.max(soFar(answered), 0.5);
         boolean byFleet = loadsFresh() && arrivals.perSecond(now) < 10;
         double worth = rpc.method.utility / mostUtility;
         if (rpc.customer < customerArrivals.length) {
@@ -422,6 +422,12 @@
         return byFleet ? fleetWaitMs > meanSoftMs * (0.4 + 0.3 * worth) : waitMs > meanSoftMs * (0.25 + 0.3 * worth);
     }
 
+    /** The rate of a sum of two seconds, of which the first ones are not full. */
+    private double soFar(DecayingSum sum) {
+        Moment now = host.now();
+        return sum.perSecond(now) / (1 - Math.exp(-Math.max(now.since(started).ms(), 100) / 2000));
+    }
+
     /** Once released, a build has every key: earlier units may be listed before news that it goes back. */
     private Build pinOf(long key) {
         if (offer == null || !settings.oneWayKeys || key == 0) return null;
@@ -720,7 +726,7 @@
         int most = Math.min(loaded.size(), 84);
         byte[] told = new byte[2 + 3 * most];
         told[0] = LOADS;
-        double wait = out / Math.max(endedAnywhere.perSecond(now), 1) * 1000 / meanSoftMs;
+        double wait = out / Math.max(soFar(endedAnywhere), 1) * 1000 / meanSoftMs;
         told[1] = (byte) Math.min(64 * wait, 127);
         for (int i = 0; i < most; i++) {
             told[2 + 3 * i] = (byte) loaded.get(i).mark();
