Blame by the desk's counts waits for them and needs one return; leads of earlier stages add up

A build that leads by five over its stages goes back, with a lead in the present one. May harm where a few units of the new build fail for other reasons through several stages.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -117,6 +117,7 @@
         boolean sameBuild = offer != null && offer.build.number == build.number;
         if (!sameBuild) offer = new Offer(build, settings.methods.size());
         if (!sameBuild || stage != offer.stage || newStanding != standing) {
+            if (sameBuild) offer.carried += offer.pooled()[1] - offer.pooled()[2];
             offer.stage = stage;
             offer.since = since;
             offer.slowSince = null;
@@ -781,10 +782,10 @@
             offer.slowSince = now;
         }
         if (offer.pausedAt == null && !offer.excused && longerThan(700, offer.slowSince, now)) {
-            offer.blames += offer.resumedAt != null && !longerThan(5000, offer.resumedAt, now) ? 1 : 0;
+            offer.blames += offer.resumedAt != null && !longerThan(5000 + lagMs(), offer.resumedAt, now) ? 1 : 0;
             offer.pausedAt = now;
         }
-        if (longerThan(5000, offer.pausedAt, now)) { // twice what queues of a soft deadline need to drain
+        if (longerThan(5000 + lagMs(), offer.pausedAt, now)) { // twice what queues of a soft deadline need to drain
             offer.pausedAt = null;
             offer.excused = true;
         }
@@ -794,9 +795,14 @@
         return since != null && now.since(since).over(Span.ofMs(ms));
     }
 
+    /** How late counts tell of a change: a period to fill, and one to come. */
+    private double lagMs() {
+        return quiet() ? 2 * settings.countsEvery.ms() : 0;
+    }
+
     private boolean inDoubt(Moment now) {
         return offer.pausedAt != null || offer.slowSince != null && !offer.excused
-            || offer.resumedAt != null && !longerThan(3000, offer.resumedAt, now);
+            || offer.resumedAt != null && !longerThan(3000 + lagMs(), offer.resumedAt, now);
     }
 
     /** After the release: failures on many units, or a pace that is gone for longer than most bursts last. */
@@ -835,8 +841,10 @@
         // enough.
         double stray = 1.5 * Math.sqrt(pooled[1] + pooled[2]);
         boolean failing = lead >= 3 && lead > 0.01 * pooled[0] && lead > stray;
+        // a few mismatches in each of several stages make a bad build too
+        failing |= lead > 0 && lead + offer.carried >= 5;
         if (!released) watchPace(now);
-        boolean proven = failing || seen.slower || seen.counted || offer.blames > 1;
+        boolean proven = failing || seen.slower || seen.counted || offer.blames > (quiet() ? 0 : 1);
         if (proven || released && failsAfterRelease(now)) {
             vote(Verdict.BACK);
         } else if (!released && settings.control == Settings.Control.CLOCKED) {
--- a/src/main/java/sprucerock/model/Offer.java
+++ b/src/main/java/sprucerock/model/Offer.java
@@ -29,6 +29,8 @@
     public boolean excused;
     /** How often the units off trial were slow again soon after the copies went on. */
     public int blames;
+    /** By how many failures this build led in its earlier stages. */
+    public int carried;
     /** Keys that the build has answered here, and the share of the traffic that these were seen to have. */
     public final Map<Long, Build> pins = new HashMap<>();
     public double pinnedShare;
