--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -862,9 +862,10 @@
     private boolean mayMoveOn(Moment now) {
         Evidence seen = offer.evidence;
         boolean single = settings.control == Settings.Control.SINGLE;
-        boolean untested = single && offer.stage == settings.caps.size() - 1 && seen.timed < 20;
-        double fallback = untested ? 6000 : single && seen.pairs < 5 ? 5000 : 3000;
-        return seen.pairs >= 20 && !untested || stageAge(now).over(Span.ofMs(fallback));
+        int pairs = offer.pooled()[0];
+        boolean untested = single && offer.stage == settings.caps.size() - 1 && seen.timed < 20 && pairs < 100;
+        double fallback = untested ? 6000 : single && pairs < 5 ? 5000 : 3000;
+        return pairs >= 20 && !untested || stageAge(now).over(Span.ofMs(fallback));
     }
 
     /** By the start times in the list; while the new units of a stage are not listed, none up to 8 s. */
