Relays with nobody to add up with: longer stages, marks by their number, pace at the build

Now the fallback age grows with the relays (three times at most) where neither peers nor counts help, mismatches must be unlikely for any of so many relays, picks at the build are held against the method's pace at the earlier one, and after the release lost pace counts by its size.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -29,6 +29,10 @@
     private double cap;
     private double sharedTokens;
     private int copiesOut;
+    private final boolean alone;
+    /** Marks stray with the number of relays of which any one may be unlucky: one in twenty days. */
+    private final double strays;
+    private final DecayingMean erredEarlier = new DecayingMean(Span.ofMs(20000));
     private final TreeMap<Integer, DecayingMean> zonePaces = new TreeMap<>();
     private final TreeMap<Integer, Unit> marked = new TreeMap<>();
     private int hub;
@@ -70,11 +74,14 @@
         customerArrivals = new DecayingSum[settings.customerShares.size()];
         Arrays.setAll(customerArrivals, i -> new DecayingSum(Span.ofMs(5000)));
         sharedTokens = settings.free;
+        alone = !settings.peers && !settings.countsEvery.over(Span.ZERO);
+        strays = Math.sqrt(2 * Math.log(20 * settings.relays));
         for (Method method : settings.methods) {
             mostUtility = Math.max(mostUtility, method.utility);
             meanSoftMs += method.softDeadline.ms() / settings.methods.size();
             method.took = new DecayingMean(Span.ofMs(10000));
             method.logBefore = new DecayingMean(Span.ofMs(20000));
+            method.logNow = new DecayingMean(Span.ofMs(20000));
             method.countedBefore = new DecayingMean(Span.ofMs(20000));
             method.trialTokens = settings.free;
         }
@@ -351,7 +358,8 @@
         boolean tells = pick.outcome != Outcome.CANCELLED && pick.outcome != Outcome.MOOT;
         if (tells && (ok || !pick.overdue)) note(pick.unit, ok);
         if (ok || pick.erred()) pick.unit.lastAnswer = now;
-        if (ok) learnPace(pick);
+        if (ok || pick.outcome == Outcome.TIMED_OUT) learnPace(pick);
+        if (!isOffered(pick.unit.build)) erredEarlier.add(now, pick.erred() ? 1 : 0);
         if (isOffered(pick.unit.build)) seenAtOffered(pick);
         if (pick.pair != null) judge(pick.pair);
         if (!rpc.ended && !rpc.streaming && rpc.out == 0 && !tryAgain(rpc)) giveUp(rpc);
@@ -525,9 +533,15 @@
         double ms = Math.max(pick.took.ms(), 1);
         pick.unit.pace.add(now, Math.min(ms / usualMs(method), 8));
         zonePace(pick.unit).add(now, Math.min(ms / usualMs(method), 8));
-        if (onTrial(pick.unit.build)) return;
-        method.took.add(now, ms);
         double log = Math.log(ms / (pick.rpc.hint == null ? 1 : Math.max(pick.rpc.hint.ms(), 1)));
+        if (onTrial(pick.unit.build)) {
+            // younger ones look slow for being cold
+            if (!isOffered(pick.unit.build) || !pick.unit.olderThan(Span.ofMs(5000), now)) return;
+            offer.excessLog.add(now, log - method.logNow.at(now, log, 1e-9));
+            return;
+        }
+        method.took.add(now, ms);
+        method.logNow.add(now, log);
         seePace(method.logBefore, log, 1);
     }
 
@@ -791,6 +805,16 @@
         }
     }
 
+    /** At the build on trial, against picks at the earlier one of the same method. */
+    private boolean paceLost(Moment now) {
+        double count = offer.excessLog.count(now);
+        return count >= 4 && offer.excessLog.at(now, 0, 1e-9) > Math.max(0.5, strays * 0.9 / Math.sqrt(count));
+    }
+
+    private double earlierShare(Moment now) {
+        return 0.01 + 1.2 * erredEarlier.at(now, 0, 5);
+    }
+
     private static boolean longerThan(double ms, Moment since, Moment now) {
         return since != null && now.since(since).over(Span.ofMs(ms));
     }
@@ -808,11 +832,12 @@
     /** After the release: failures on many units, or a pace that is gone for longer than most bursts last. */
     private boolean failsAfterRelease(Moment now) {
         Evidence seen = offer.evidence;
-        if (pace(now) < 0.6 || !slowed(now)) offer.slowSince = null;
-        else if (offer.slowSince == null) offer.slowSince = now;
+        if (pace(now) < 0.6 || !slowed(now)) offer.lost = 0;
+        else if (offer.lostAsOf != null) offer.lost += pace(now) * now.since(offer.lostAsOf).ms() / 1000;
+        offer.lostAsOf = now;
         boolean many = seen.erring >= Math.max(3, 0.6 * offer.build.units.size());
         return many && seen.errors >= 5 && seen.errors > 0.02 * seen.ended
-            || longerThan(8000, offer.slowSince, now);
+            || offer.lost > 6 || Shares.tail(seen.errors, seen.ended, 0.25) < 0.01 / settings.relays;
     }
 
     private void look() {
@@ -843,8 +868,9 @@
         boolean failing = lead >= 3 && lead > 0.01 * pooled[0] && lead > stray;
         // a few mismatches in each of several stages make a bad build too
         failing |= lead > 0 && lead + offer.carried >= 5;
+        if (alone) failing &= Shares.tail(pooled[1], seen.pairs, earlierShare(now)) < 0.05 / settings.relays;
         if (!released) watchPace(now);
-        boolean proven = failing || seen.slower || seen.counted || offer.blames > (quiet() ? 0 : 1);
+        boolean proven = failing || seen.slower || alone && paceLost(now) || seen.counted || offer.blames > (quiet() ? 0 : 1);
         if (proven || released && failsAfterRelease(now)) {
             vote(Verdict.BACK);
         } else if (!released && settings.control == Settings.Control.CLOCKED) {
@@ -865,6 +891,8 @@
         int pairs = offer.pooled()[0];
         boolean untested = single && offer.stage == settings.caps.size() - 1 && seen.timed < 20 && pairs < 100;
         double fallback = untested ? 6000 : single && pairs < 5 ? 5000 : 3000;
+        // with nobody to add up with, the busiest of many relays must see enough first: their rates differ tenfold
+        if (alone && single) fallback *= Math.max(1, Math.min(3, Math.log(settings.relays) / Math.log(2) / 4));
         return pairs >= 20 && !untested || stageAge(now).over(Span.ofMs(fallback));
     }
 
--- a/src/main/java/sprucerock/model/Method.java
+++ b/src/main/java/sprucerock/model/Method.java
@@ -23,6 +23,7 @@
     public DecayingMean took;
     public DecayingMean logBefore;
     public DecayingMean countedBefore;
+    public DecayingMean logNow;
     /** Picks that may go to a build on trial. */
     public double trialTokens;
 
--- a/src/main/java/sprucerock/model/Offer.java
+++ b/src/main/java/sprucerock/model/Offer.java
@@ -3,7 +3,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import sprucerock.stats.DecayingMean;
 import sprucerock.time.Moment;
+import sprucerock.time.Span;
 
 /** What one relay knows of the build that the release desk offered last. */
 public final class Offer {
@@ -29,6 +31,11 @@
     public boolean excused;
     /** How often the units off trial were slow again soon after the copies went on. */
     public int blames;
+    /** How much slower than the earlier build's its picks are, in logarithms. */
+    public final DecayingMean excessLog = new DecayingMean(Span.ofMs(20000));
+    /** Lost pace since the release, times the seconds that it lasted. */
+    public double lost;
+    public Moment lostAsOf;
     /** By how many failures this build led in its earlier stages. */
     public int carried;
     /** Keys that the build has answered here, and the share of the traffic that these were seen to have. */
