--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -124,7 +124,11 @@
         boolean sameBuild = offer != null && offer.build.number == build.number;
         if (!sameBuild) offer = new Offer(build, settings.methods.size());
         if (!sameBuild || stage != offer.stage || newStanding != standing) {
-            if (sameBuild) offer.carried += offer.pooled()[1] - offer.pooled()[2];
+            if (sameBuild) {
+                int[] pooled = offer.pooled();
+                offer.carried += pooled[1] - pooled[2];
+                offer.carriedStray += 1.5 * Math.sqrt(4 * pooled[2]);
+            }
             offer.stage = stage;
             offer.since = since;
             offer.slowSince = null;
@@ -864,10 +868,10 @@
         // Where units of both builds fail, mismatches come both ways and their difference strays by about the
         // root of their number: 1.5 of those beside the design's marks, so that three to none is still
         // enough.
-        double stray = 1.5 * Math.sqrt(pooled[1] + pooled[2]);
+        double stray = 1.5 * (Math.sqrt(pooled[1] + pooled[2]) + Math.sqrt(2 * pooled[2]));
         boolean failing = lead >= 3 && lead > 0.01 * pooled[0] && lead > stray;
         // a few mismatches in each of several stages make a bad build too
-        failing |= lead > 0 && lead + offer.carried >= 5;
+        failing |= lead > 0 && lead + offer.carried >= Math.max(5, stray + offer.carriedStray);
         if (alone) failing &= Shares.tail(pooled[1], seen.pairs, earlierShare(now)) < 0.05 / settings.relays;
         if (!released) watchPace(now);
         boolean proven = failing || seen.slower || alone && paceLost(now) || seen.counted || offer.blames > (quiet() ? 0 : 1);
--- a/src/main/java/sprucerock/model/Offer.java
+++ b/src/main/java/sprucerock/model/Offer.java
@@ -38,6 +38,8 @@
     public Moment lostAsOf;
     /** By how many failures this build led in its earlier stages. */
     public int carried;
+    /** How far that may stray where both builds failed. */
+    public double carriedStray;
     /** Keys that the build has answered here, and the share of the traffic that these were seen to have. */
     public final Map<Long, Build> pins = new HashMap<>();
     public double pinnedShare;
