Pace of the fleet leaves out the slowest method: one that waits alone is no slow build

Harms where a build slows a single method of all units: that is found by the method's counts or singles only.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -54,7 +54,6 @@
     private final DecayingSum homeSends = new DecayingSum(Span.ofMs(3000));
     private final DecayingSum repeats = new DecayingSum(Span.ofMs(5000));
     private final DecayingSum answered = new DecayingSum(Span.ofMs(2000));
-    private final DecayingMean slowness = new DecayingMean(Span.ofMs(3000));
     private int timely;
     private double mostUtility;
     private double meanSoftMs;
@@ -81,6 +80,7 @@
             meanSoftMs += method.softDeadline.ms() / settings.methods.size();
             method.took = new DecayingMean(Span.ofMs(10000));
             method.logBefore = new DecayingMean(Span.ofMs(20000));
+            method.slowness = new DecayingMean(Span.ofMs(3000));
             method.logNow = new DecayingMean(Span.ofMs(20000));
             method.countedBefore = new DecayingMean(Span.ofMs(20000));
             method.trialTokens = settings.free;
@@ -546,16 +546,16 @@
         }
         method.took.add(now, ms);
         method.logNow.add(now, log);
-        seePace(method.logBefore, log, 1);
+        seePace(method, method.logBefore, log, 1);
     }
 
-    private void seePace(DecayingMean before, double log, double weight) {
+    private void seePace(Method method, DecayingMean before, double log, double weight) {
         Moment now = host.now();
         if (!longerThan(2000, started, now)) return; // a fleet that just woke has no queues yet
         if (!watched(now) || offer.stage == 0) { // the first stage's few picks slow nothing much yet
             before.add(now, log, weight);
         } else if (before.count(now) >= 2) {
-            slowness.add(now, log - before.at(now, 0, 1e-9), weight);
+            method.slowness.add(now, log - before.at(now, 0, 1e-9), weight);
         }
     }
 
@@ -642,7 +642,7 @@
      */
     public void counted(Build build, Method method, double picks, double failed, Span mean) {
         if (!onTrial(build) && quiet() && picks > failed) {
-            seePace(method.countedBefore, Math.log(Math.max(mean.ms(), 1)), picks - failed);
+            seePace(method, method.countedBefore, Math.log(Math.max(mean.ms(), 1)), picks - failed);
         }
         if (offer == null || build.number > offer.build.number) return;
         double[] fresh = offer.freshCounts[method.index];
@@ -773,12 +773,29 @@
 
     /** How slow units off trial are beside before the offer: a mean of logarithms, tails count little. */
     private double pace(Moment now) {
-        return slowness.at(now, 0, 0.1);
+        return paceSums(now)[0];
+    }
+
+    /** The pace and its weight; where there are three methods or more, without the slowest: it may wait alone. */
+    private double[] paceSums(Moment now) {
+        double sum = 0;
+        double count = 0;
+        Method worst = null;
+        for (Method method : settings.methods) {
+            sum += method.slowness.at(now, 0, 0.1) * method.slowness.count(now);
+            count += method.slowness.count(now);
+            if (worst == null || method.slowness.at(now, 0, 0.1) > worst.slowness.at(now, 0, 0.1)) worst = method;
+        }
+        if (settings.methods.size() > 2) {
+            sum -= worst.slowness.at(now, 0, 0.1) * worst.slowness.count(now);
+            count -= worst.slowness.count(now);
+        }
+        return new double[] {sum / (count + 0.1), count};
     }
 
     /** Slower by half, and by three times what chance gives (logarithms of times stray by 0.9). */
     private boolean slowed(Moment now) {
-        double count = slowness.count(now);
+        double count = paceSums(now)[1];
         return count >= 5 && pace(now) > Math.max(0.4, 2.7 / Math.sqrt(count));
     }
 
--- a/src/main/java/sprucerock/model/Method.java
+++ b/src/main/java/sprucerock/model/Method.java
@@ -24,6 +24,7 @@
     public DecayingMean logBefore;
     public DecayingMean countedBefore;
     public DecayingMean logNow;
+    public DecayingMean slowness;
     /** Picks that may go to a build on trial. */
     public double trialTokens;
 
