--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -34,18 +34,14 @@
     private final double strays;
     private final DecayingMean erredEarlier = new DecayingMean(Span.ofMs(20000));
     private final TreeMap<Integer, DecayingMean> zonePaces = new TreeMap<>();
-    private final TreeMap<Integer, Unit> marked = new TreeMap<>();
+    private final Board board;
     private int hub;
+    private Moment hubSince;
     private Moment loadsAt;
-    private Moment digestAt;
-    private Moment addedAt;
-    private Moment sumUpAt;
+    private boolean sumsDue;
     private double fleetWaitMs;
     private final DecayingSum endedAnywhere = new DecayingSum(Span.ofMs(2000));
     private int singles;
-    private Moment weighedAt;
-    private double warm;
-    private double all;
 
     private final DecayingSum arrivals = new DecayingSum(Span.ofMs(5000));
     private final DecayingSum[] customerArrivals;
@@ -85,6 +81,7 @@
             method.countedBefore = new DecayingMean(Span.ofMs(20000));
             method.trialTokens = settings.free;
         }
+        board = new Board(Span.ofMs(4 * meanSoftMs));
         if (settings.ask) subscribe();
         look();
     }
@@ -94,19 +91,17 @@
         unit.ready = true;
         if (unit.pace == null) unit.pace = new DecayingMean(Span.ofMs(4000));
         unit.build.add(unit);
-        marked.put(unit.mark(), unit);
-        if (unit.elsewhere == null) unit.elsewhere = new DecayingSum(Span.ofMs(4 * meanSoftMs));
+        board.ready(unit);
         builds.put(unit.build.number, unit.build);
         unit.coldTokens = chance.next(); // relays learn of a unit together, their first tokens come one by one
         unit.coldAsOf = host.now();
-        weighedAt = null;
     }
 
     /** Rule 3: a unit that is told to drain or gone gets nothing new at once; no grace is used. */
     public void unitLeaving(Unit unit) {
         if (unit.ready) unit.build.remove(unit);
         unit.ready = false;
-        weighedAt = null;
+        board.left(unit);
         if (unit.build.units.isEmpty()) builds.remove(unit.build.number);
     }
 
@@ -287,7 +282,7 @@
             && rpc.picks.size() + 1 < settings.maxPicks && rpc.deadline.since(now).over(lost.times(1.5));
         Pick pick = new Pick(rpc, unit, now, cut ? lost : null);
         host.send(pick);
-        report(unit, 0);
+        report(unit, null);
         host.wake(now.plus(overdue), () -> overdue(pick));
         return pick;
     }
@@ -358,7 +353,7 @@
         if (answers) settle(rpc);
         if (answers && ok) answered.add(now, 1);
         if (pick.copy) copiesOut--;
-        report(pick.unit, 1 + (int) Math.min(now.since(pick.sent).ms() / meanSoftMs * 32, 126));
+        report(pick.unit, now.since(pick.sent));
         boolean tells = pick.outcome != Outcome.CANCELLED && pick.outcome != Outcome.MOOT;
         if (tells && (ok || !pick.overdue)) note(pick.unit, ok);
         if (ok || pick.erred()) pick.unit.lastAnswer = now;
@@ -474,7 +469,7 @@
         // no scan of a large fleet: 24 draws miss the usable third of a build once in 17,000 times
         for (int i = 0; i < Math.min(build.units.size(), 24); i++) {
             Unit unit = build.draw(i, chance.next());
-            if (first != null && !sameGroup(rpc.method, first.unit, unit)) continue;
+            if (first != null && !rpc.method.dropsRepeats(first.unit, unit)) continue;
             if (rpc.triedAt(unit) || !hasRoom(unit, now)) continue;
             if (sick(unit) && mayLook && now.after(unit.retryAt) && budgetHasRoom()) {
                 // a look a second shows recovery soon at little cost
@@ -493,15 +488,6 @@
         return one != null ? one : rest;
     }
 
-    private static boolean sameGroup(Method method, Unit before, Unit unit) {
-        return method.effect != Method.Effect.TOKENED || switch (method.group) {
-            case ALL -> true;
-            case ZONE -> before.zone == unit.zone;
-            case CELL -> before.cell == unit.cell;
-        };
-    }
-
-    /** The expected wait, as far as this relay's own picks tell. */
     private DecayingMean zonePace(Unit unit) {
         return zonePaces.computeIfAbsent(unit.zone, zone -> new DecayingMean(Span.ofMs(8000)));
     }
@@ -513,9 +499,11 @@
         return zonePace(unit).at(now, 1, 1) > 1.8 * zonePaces.get(settings.zone).at(now, 1, 1);
     }
 
+    /** The expected wait, as far as own picks and the loads tell. */
     private double cost(Unit unit) {
         double far = unit.zone == settings.zone ? 1 : 1.1; // a tie goes to the relay's own zone
-        double load = 1 + Math.max(unit.out, unit.loadAt == loadsAt && loadsFresh() ? unit.load : 0) / Math.max(unit.weight, 0.1);
+        int out = unit.toldAt == loadsAt && loadsFresh() ? Math.max(unit.out, unit.told) : unit.out;
+        double load = 1 + out / Math.max(unit.weight, 0.1);
         return load * unit.pace.at(host.now(), 1, 2) * (1 + unit.failed(6)) * far;
     }
 
@@ -568,7 +556,13 @@
      */
     private boolean hasRoom(Unit unit, Moment now) {
         if (!onTrial(unit.build) && unit.olderThan(settings.cold, now)) return true;
-        weigh(now);
+        double all = 0;
+        double warm = 0;
+        for (Build build : builds.values()) {
+            build.weigh(settings.cold, Span.ofMs(500), now); // no scan for each pick
+            all += build.weight;
+            if (!onTrial(build)) warm += build.weightOfOlder;
+        }
         double carried = homeSends.perSecond(now) * unit.weight / Math.max(warm > 0 ? warm : all, 0.1);
         double age = unit.started == null ? 1 : Math.max(0, now.since(unit.started).per(settings.cold));
         double share = settings.startShare + (1 - settings.startShare) * Math.min(1, age);
@@ -579,20 +573,6 @@
         return unit.coldTokens >= 1;
     }
 
-    /** Adds up the weights of the fleet: after a change of the list and twice a second, not for each RPC. */
-    private void weigh(Moment now) {
-        if (weighedAt != null && !longerThan(500, weighedAt, now)) return;
-        weighedAt = now;
-        warm = 0;
-        all = 0;
-        for (Build build : builds.values()) {
-            for (Unit other : build.units) {
-                all += other.weight;
-                if (!onTrial(build) && other.olderThan(settings.cold, now)) warm += other.weight;
-            }
-        }
-    }
-
     private void judge(Pair pair) {
         Pick fresh = pair.fresh;
         Pick earlier = pair.earlier;
@@ -613,13 +593,9 @@
         Span settled = Span.ofMs(5000); // the design's age, under which copies look slow for being cold
         boolean alike = fresh.unit.kind == earlier.unit.kind && !fresh.erred() && !earlier.erred()
             && fresh.unit.olderThan(settled, now) && earlier.unit.olderThan(settled, now);
-        if (alike && seen.timed < seen.freshTook.length) {
-            seen.freshTook[seen.timed] = tookOf(fresh, now);
-            seen.earlierTook[seen.timed] = tookOf(earlier, now);
-            int n = ++seen.timed;
-            double distance = n != 20 && n != 40 && n != 80 ? 0
-                : Ks.slowerSide(Arrays.copyOf(seen.freshTook, n), Arrays.copyOf(seen.earlierTook, n));
-            seen.slower |= distance > Math.max(0.25, 1.63 * Math.sqrt(2.0 / n));
+        int n = alike ? seen.time(tookOf(fresh, now), tookOf(earlier, now)) : 0;
+        if (n == 20 || n == 40 || n == 80) {
+            seen.slower |= seen.slowerSide() > Math.max(0.25, 1.63 * Math.sqrt(2.0 / n));
         }
         consider();
     }
@@ -679,7 +655,7 @@
      * few bytes when that changed and twice a second at most, and add it up.
      */
     private void tellPeers(Moment now) {
-        if (!settings.peers || trial() == null || offer.evidence.pairs == offer.evidence.told) return;
+        if (!settings.peers || trial() == null || offer.evidence.told(offer.pooled()[0] < 120)) return;
         if (offer.told != null && Span.ofMs(500).over(now.since(offer.told))) return;
         offer.told = now;
         host.tellPeers(offer.evidence.report(offer.build.number, offer.stage));
@@ -687,115 +663,81 @@
 
     public void peerTold(int sender, byte[] contents) {
         if (contents.length < 2) return;
-        if (contents[0] == PICK) added(contents);
-        else if (contents[0] == LOADS) loadsTold(sender, contents);
+        if (contents[0] == Board.PICK && contents.length == 4) added(contents);
+        else if (contents[0] == Board.LOADS) loadsTold(sender, contents);
         else if (offer != null && contents.length == 6) {
             offer.heard(sender, contents);
             consider();
         }
     }
 
-    private static final byte PICK = 1;
-    private static final byte LOADS = 2;
-
     /**
      * Quiet relays see no queue of a unit. So each tells one relay of its picks as they start and end, and this
-     * one tells all, four times a second, which units hold two or more. Where that relay is silent, the next one
-     * is told; of several the lowest is believed. With all messages lost, relays go by their own picks.
+     * one tells all, four times a second, which units hold two or more, and the fleet's wait by Little's law.
+     * Where it is silent, the next one is told; of several the lowest is believed. With all messages lost, relays
+     * go by their own picks.
      */
-    private void report(Unit unit, int age) {
+    private void report(Unit unit, Span endedAt) {
         if (!settings.peers) return;
-        if (loadsAt == null || longerThan(2000, loadsAt, host.now())) {
-            loadsAt = host.now();
-            if (addedAt != null) hub = (hub + 1) % settings.relays;
-            addedAt = host.now();
+        Moment now = host.now();
+        if (hubSince == null) hubSince = now;
+        if (longerThan(2000, hubSince, now)) {
+            hubSince = now;
+            hub = (hub + 1) % settings.relays;
         }
-        byte[] told = {PICK, (byte) unit.mark(), (byte) (unit.mark() >> 8), (byte) age};
+        byte[] told = board.pick(unit, endedAt);
         if (hub == settings.index) added(told);
         else host.tellPeer(hub, told);
     }
 
-    private boolean loadsFresh() {
-        return digestAt != null && !longerThan(1000, digestAt, host.now());
-    }
-
     private void added(byte[] told) {
-        Unit unit = marked.get(told[1] & 0xff | (told[2] & 0xff) << 8);
-        if (unit == null) return;
-        // a pick counts less as it ages, so that a lost message is forgotten; its end takes off what is left
-        unit.elsewhere.add(host.now(), told[3] == 0 ? 1 : -Math.exp(-(told[3] - 1) / 32.0 / 4));
-        if (told[3] > 0) endedAnywhere.add(host.now(), 1);
-        if (sumUpAt == null) {
-            sumUpAt = host.now();
-            host.wake(host.now().plus(Span.ofMs(250)), this::sumUp);
-        }
-    }
-
-    private void sumUp() {
         Moment now = host.now();
-        sumUpAt = null;
-        List<Unit> loaded = new ArrayList<>();
-        double out = 0;
-        for (Unit unit : marked.values()) {
-            unit.load = (int) Math.round(Math.max(0, unit.elsewhere.at(now)));
-            out += Math.max(0, unit.elsewhere.at(now));
-            if (unit.ready && unit.load >= 2) loaded.add(unit);
-        }
-        loaded.sort((a, b) -> b.load - a.load);
-        int most = Math.min(loaded.size(), 84);
-        byte[] told = new byte[2 + 3 * most];
-        told[0] = LOADS;
-        double wait = out / Math.max(soFar(endedAnywhere), 1) * 1000 / meanSoftMs;
-        told[1] = (byte) Math.min(64 * wait, 127);
-        for (int i = 0; i < most; i++) {
-            told[2 + 3 * i] = (byte) loaded.get(i).mark();
-            told[3 + 3 * i] = (byte) (loaded.get(i).mark() >> 8);
-            told[4 + 3 * i] = (byte) Math.min(loaded.get(i).load, 127);
-        }
-        host.tellPeers(told);
-        loadsTold(settings.index, told);
+        if (board.add(told, now)) endedAnywhere.add(now, 1);
+        if (sumsDue) return;
+        sumsDue = true;
+        host.wake(now.plus(Span.ofMs(250)), () -> {
+            sumsDue = false;
+            double waitMs = 1000 * board.out(host.now()) / Math.max(soFar(endedAnywhere), 1);
+            byte[] loads = board.loads(2, waitMs / meanSoftMs, host.now());
+            host.tellPeers(loads);
+            loadsTold(settings.index, loads);
+        });
     }
 
     private void loadsTold(int sender, byte[] told) {
-        boolean stale = loadsAt == null || longerThan(1000, loadsAt, host.now());
-        if (sender > hub && !stale) return;
+        if (sender > hub && loadsFresh()) return;
         hub = sender;
-        loadsAt = host.now();
-        digestAt = loadsAt;
-        fleetWaitMs = told[1] / 64.0 * meanSoftMs;
-        for (int i = 2; i + 2 < told.length; i += 3) {
-            Unit unit = marked.get(told[i] & 0xff | (told[i + 1] & 0xff) << 8);
-            if (unit == null) continue;
-            unit.load = told[i + 2];
-            unit.loadAt = loadsAt;
-        }
+        hubSince = host.now();
+        loadsAt = hubSince;
+        fleetWaitMs = board.read(told, loadsAt) * meanSoftMs;
     }
 
-    /** How slow units off trial are beside before the offer: a mean of logarithms, tails count little. */
-    private double pace(Moment now) {
-        return paceSums(now)[0];
+    private boolean loadsFresh() {
+        return loadsAt != null && !longerThan(1000, loadsAt, host.now());
     }
 
-    /** The pace and its weight; where there are three methods or more, without the slowest: it may wait alone. */
-    private double[] paceSums(Moment now) {
-        double sum = 0;
-        double count = 0;
-        Method worst = null;
+    /**
+     * How slow units off trial are beside before the offer, a mean of logarithms in which tails count little,
+     * and its weight; of three methods or more without the slowest, which may wait alone for what only it needs.
+     */
+    private double[] paces(Moment now) {
+        double[] sums = new double[settings.methods.size()];
+        double[] counts = new double[sums.length];
         for (Method method : settings.methods) {
-            sum += method.slowness.at(now, 0, 0.1) * method.slowness.count(now);
-            count += method.slowness.count(now);
-            if (worst == null || method.slowness.at(now, 0, 0.1) > worst.slowness.at(now, 0, 0.1)) worst = method;
-        }
-        if (settings.methods.size() > 2) {
-            sum -= worst.slowness.at(now, 0, 0.1) * worst.slowness.count(now);
-            count -= worst.slowness.count(now);
+            counts[method.index] = method.slowness.count(now);
+            sums[method.index] = method.slowness.at(now, 0, 0.1) * counts[method.index];
         }
-        return new double[] {sum / (count + 0.1), count};
+        return Shares.withoutHighest(sums, counts);
+    }
+
+    private double pace(Moment now) {
+        double[] paces = paces(now);
+        return paces[0] / (paces[1] + 0.1);
     }
 
     /** Slower by half, and by three times what chance gives (logarithms of times stray by 0.9). */
     private boolean slowed(Moment now) {
-        double count = paceSums(now)[1];
+        double count = paces(now)[1];
         return count >= 5 && pace(now) > Math.max(0.4, 2.7 / Math.sqrt(count));
     }
 
@@ -933,10 +875,7 @@
             Span due = castCounts ? settings.voteLife.times(0.5) : retry;
             if (!now.since(castAt).over(due)) return;
         } else {
-            Evidence seen = offer.evidence;
-            host.log("vote " + verdict + " on " + offer.build.number + " at stage " + offer.stage + ": pairs "
-                + Arrays.toString(offer.pooled()) + ", slower " + seen.slower + ", counted " + seen.counted
-                + ", blames " + offer.blames + ", pace " + pace(now) + ", errors " + seen.errors);
+            host.log("vote " + verdict + " on " + offer + ", pace " + pace(now));
         }
         cast = verdict;
         castAt = now;
--- a/src/main/java/sprucerock/model/Build.java
+++ b/src/main/java/sprucerock/model/Build.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import sprucerock.time.Moment;
+import sprucerock.time.Span;
 
 /** One version of the servers' software, with the units that run it and may get new work. */
 public final class Build {
@@ -16,13 +17,32 @@
         this.number = number;
     }
 
+    private Moment weighedAt;
+    /** The weights of all units and of those older than asked for, when they were added up last. */
+    public double weight;
+    public double weightOfOlder;
+
+    /** Adds the weights up, if that was longer ago than {@code keep} or units came or went since. */
+    public void weigh(Span age, Span keep, Moment now) {
+        if (weighedAt != null && !now.since(weighedAt).over(keep)) return;
+        weighedAt = now;
+        weight = 0;
+        weightOfOlder = 0;
+        for (Unit unit : units) {
+            weight += unit.weight;
+            if (unit.olderThan(age, now)) weightOfOlder += unit.weight;
+        }
+    }
+
     public void add(Unit unit) {
+        weighedAt = null;
         unit.place = units.size();
         units.add(unit);
         if (unit.started != null && (newest == null || unit.started.after(newest))) newest = unit.started;
     }
 
     public void remove(Unit unit) {
+        weighedAt = null;
         swap(unit.place, units.size() - 1);
         units.remove(units.size() - 1);
     }
--- a/src/main/java/sprucerock/model/Evidence.java
+++ b/src/main/java/sprucerock/model/Evidence.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
+import sprucerock.stats.Ks;
 
 /** What one relay saw of the offered build in its present stage. */
 public final class Evidence {
@@ -12,8 +14,8 @@
     public int earlierFailed;
     /** Pairs of which both times are known, and those times. */
     public int timed;
-    public final double[] freshTook;
-    public final double[] earlierTook;
+    private final double[] freshTook;
+    private final double[] earlierTook;
     public boolean slower;
     public boolean counted;
     /** Picks ended at the build since its release, and those that failed. */
@@ -21,8 +23,8 @@
     public int errors;
     /** Units of the build that failed a pick since its release. */
     public int erring;
-    /** Pairs that the peers have been told of. */
-    public int told;
+    private int toldPairs;
+    private int toldFailed;
     /**
      * RPCs sent to the build alone, by method, and those whose like has not been sent to the earlier build
      * yet.
@@ -30,9 +32,28 @@
     public final int[] singles;
     public final List<Deque<Pair>> waiting = new ArrayList<>();
 
+    /** Whether the peers know all failures and, where these matter, all pairs. */
+    public boolean told(boolean pairsMatter) {
+        return toldFailed == freshFailed + earlierFailed && (toldPairs == pairs || !pairsMatter);
+    }
+
+    /** Notes the times of a pair; returns how many are known, 0 where no more are kept. */
+    public int time(double fresh, double earlier) {
+        if (timed == freshTook.length) return 0;
+        freshTook[timed] = fresh;
+        earlierTook[timed] = earlier;
+        return ++timed;
+    }
+
+    /** One-sided KS of the times so far. */
+    public double slowerSide() {
+        return Ks.slowerSide(Arrays.copyOf(freshTook, timed), Arrays.copyOf(earlierTook, timed));
+    }
+
     /** The counts of the pairs, to be told to peers. */
     public byte[] report(int build, int stage) {
-        told = pairs;
+        toldPairs = pairs;
+        toldFailed = freshFailed + earlierFailed;
         return new byte[] {3, (byte) build, (byte) stage, (byte) Math.min(pairs, 255),
             (byte) Math.min(freshFailed, 255), (byte) Math.min(earlierFailed, 255)};
     }
--- a/src/main/java/sprucerock/model/Method.java
+++ b/src/main/java/sprucerock/model/Method.java
@@ -44,6 +44,15 @@
         return effect == Effect.NON_IDEMPOTENT || stream;
     }
 
+    /** Whether {@code unit} drops a repeat of what {@code before} may have run. */
+    public boolean dropsRepeats(Unit before, Unit unit) {
+        return effect != Effect.TOKENED || switch (group) {
+            case ALL -> true;
+            case ZONE -> before.zone == unit.zone;
+            case CELL -> before.cell == unit.cell;
+        };
+    }
+
     public boolean idempotent() {
         return effect == Effect.IDEMPOTENT;
     }
--- a/src/main/java/sprucerock/model/Offer.java
+++ b/src/main/java/sprucerock/model/Offer.java
@@ -80,4 +80,12 @@
         freshCounts = new double[methods][2];
         earlierCounts = new double[methods][2];
     }
+
+    /** For the log. */
+    @Override
+    public String toString() {
+        return build.number + " at stage " + stage + ": pairs " + java.util.Arrays.toString(pooled()) + ", carried "
+            + carried + ", slower " + evidence.slower + ", counted " + evidence.counted + ", blames " + blames
+            + ", errors " + evidence.errors;
+    }
 }
--- a/src/main/java/sprucerock/model/Unit.java
+++ b/src/main/java/sprucerock/model/Unit.java
@@ -28,10 +28,11 @@
     public double coldTokens;
     public Moment coldAsOf;
     public int excess;
-    /** Picks out that all relays reported, and how many were told of it last. */
-    public sprucerock.stats.DecayingSum elsewhere;
-    public int load;
-    public Moment loadAt;
+    /** Picks of all relays that are out, where this relay adds them up. */
+    public sprucerock.stats.DecayingSum pickedByAll;
+    /** How many it was said to hold, and when. */
+    public int told;
+    public Moment toldAt;
 
     public Unit(long id, int zone, int kind, int cell, Build build, Moment started, double weight) {
         this.id = id;
@@ -43,11 +44,6 @@
         this.weight = weight;
     }
 
-    /** A short name for messages between relays. */
-    public int mark() {
-        return (int) ((id * 0x9E3779B1L >>> 16) & 0xffff);
-    }
-
     public void note(boolean ok) {
         outcomes = outcomes << 1 | (ok ? 1 : 0);
         seen++;
--- a/src/main/java/sprucerock/stats/Shares.java
+++ b/src/main/java/sprucerock/stats/Shares.java
@@ -20,4 +20,18 @@
         }
         return Math.max(0, 1 - below);
     }
+
+    /** Sum and count over all parts; of three or more without the one with the highest mean. */
+    public static double[] withoutHighest(double[] sums, double[] counts) {
+        double sum = 0;
+        double count = 0;
+        int highest = 0;
+        for (int i = 0; i < sums.length; i++) {
+            sum += sums[i];
+            count += counts[i];
+            if (sums[i] * Math.max(counts[highest], 1e-9) > sums[highest] * Math.max(counts[i], 1e-9)) highest = i;
+        }
+        boolean leave = sums.length > 2;
+        return new double[] {leave ? sum - sums[highest] : sum, leave ? count - counts[highest] : count};
+    }
 }
