--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -8,16 +8,15 @@
 import sprucerock.time.*;
 
 /**
- * All decisions of one relay. The host (the bench adapter, later the relay) makes one Policy at start and
- * calls one method for each thing that happens: a unit is ready or leaves, an RPC arrives, a pick ends, news,
- * counts or flags come in. Policy acts at once through {@link Host}, in sprucerock.host; objects are in
- * sprucerock.model.
+ * All decisions of one relay. The host (the bench adapter, later the relay) makes one Policy at start and calls
+ * one method for each thing that happens; Policy acts at once through {@link Host}, in sprucerock.host.
  *
- * The ordinary path is the design, "Shadow traffic": an idempotent RPC goes to the earlier build with a copy
- * to the build on trial; pairs are judged by failure match and one-sided KS, stage by stage, and voted on.
+ * The ordinary path is the design, "Shadow traffic": an idempotent RPC goes to the earlier build with a copy to
+ * the build on trial; pairs are judged by failure match and one-sided KS, stage by stage, and voted on.
  *
- * Beside the design stand six mechanisms: (1) the cold guard, (2) unit health, (3) time-out and further pick
- * under a retry budget, (4) pushback under overload, (5) pinned keys, (6) evidence where pairs can't see.
+ * Beside the design stand six mechanisms: (1) the cold guard, (2) unit health, with the loads that relays tell
+ * each other, (3) time-out and further pick under a retry budget, (4) pushback under overload, (5) pinned keys,
+ * (6) evidence where pairs can't see.
  */
 public final class Policy {
     private final Host host;
@@ -29,11 +28,13 @@
     private double cap;
     private double sharedTokens;
     private int copiesOut;
+    private int singles;
+    /** Neither peers nor the desk's counts add up what relays see. */
     private final boolean alone;
-    /** Marks stray with the number of relays of which any one may be unlucky: one in twenty days. */
+    /** Where any of so many relays can send a build back, marks are set for one unlucky one in twenty days. */
     private final double strays;
-    private final DecayingMean erredEarlier = new DecayingMean(Span.ofMs(20000));
     private final TreeMap<Integer, DecayingMean> zonePaces = new TreeMap<>();
+    private final Pace pace;
     private final Board board;
     private int hub;
     private Moment hubSince;
@@ -41,12 +42,10 @@
     private boolean sumsDue;
     private double fleetWaitMs;
     private final DecayingSum endedAnywhere = new DecayingSum(Span.ofMs(2000));
-    private int singles;
 
     private final DecayingSum arrivals = new DecayingSum(Span.ofMs(5000));
-    private final DecayingSum[] customerArrivals;
-    // other keys are no popular ones
-    private final KeyedSums keyArrivals = new KeyedSums(Span.ofMs(20000), 4096);
+    private final Customers customers;
+    private final KeyedSums keyArrivals = new KeyedSums(Span.ofMs(20000), 4096); // of popular keys
     private final DecayingSum homeSends = new DecayingSum(Span.ofMs(3000));
     private final DecayingSum repeats = new DecayingSum(Span.ofMs(5000));
     private final DecayingSum answered = new DecayingSum(Span.ofMs(2000));
@@ -54,10 +53,7 @@
     private double mostUtility;
     private double meanSoftMs;
 
-    private Verdict cast = Verdict.NONE;
-    private Moment castAt;
-    private boolean castCounts;
-    private boolean castPending;
+    private final Ballot ballot = new Ballot();
     private Moment lastAsked;
     private final Moment started;
 
@@ -66,8 +62,7 @@
         this.settings = settings;
         chance = new Chance(seed);
         started = host.now();
-        customerArrivals = new DecayingSum[settings.customerShares.size()];
-        Arrays.setAll(customerArrivals, i -> new DecayingSum(Span.ofMs(5000)));
+        customers = new Customers(settings.customerShares, Span.ofMs(5000));
         sharedTokens = settings.free;
         alone = !settings.peers && !settings.countsEvery.over(Span.ZERO);
         strays = Math.sqrt(2 * Math.log(20 * settings.relays));
@@ -75,12 +70,10 @@
             mostUtility = Math.max(mostUtility, method.utility);
             meanSoftMs += method.softDeadline.ms() / settings.methods.size();
             method.took = new DecayingMean(Span.ofMs(10000));
-            method.logBefore = new DecayingMean(Span.ofMs(20000));
-            method.slowness = new DecayingMean(Span.ofMs(3000));
             method.logNow = new DecayingMean(Span.ofMs(20000));
-            method.countedBefore = new DecayingMean(Span.ofMs(20000));
             method.trialTokens = settings.free;
         }
+        pace = new Pace(settings.methods.size(), 2, Span.ofMs(20000), Span.ofMs(3000));
         board = new Board(Span.ofMs(4 * meanSoftMs));
         if (settings.ask) subscribe();
         look();
@@ -93,7 +86,7 @@
         unit.build.add(unit);
         board.ready(unit);
         builds.put(unit.build.number, unit.build);
-        unit.coldTokens = chance.next(); // relays learn of a unit together, their first tokens come one by one
+        unit.coldTokens = chance.next(); // relays learn of a unit together: first tokens come one by one
         unit.coldAsOf = host.now();
     }
 
@@ -119,21 +112,17 @@
         boolean sameBuild = offer != null && offer.build.number == build.number;
         if (!sameBuild) offer = new Offer(build, settings.methods.size());
         if (!sameBuild || stage != offer.stage || newStanding != standing) {
-            if (sameBuild) {
-                int[] pooled = offer.pooled();
-                offer.carried += pooled[1] - pooled[2];
-                offer.carriedStray += 1.5 * Math.sqrt(4 * pooled[2]);
-            }
+            if (sameBuild) offer.carry();
             offer.stage = stage;
             offer.since = since;
             offer.slowSince = null;
             offer.evidence = new Evidence(settings.methods.size(), 80);
-            // forty by all relays together, the rest by chance; each harms if the build is bad
+            // forty by all relays together; each harms if the build is bad
             singles = (int) (Math.min(10, 40.0 / settings.relays) + chance.next());
             offer.poolAnew();
             if (newStanding == Standing.RELEASED) offer.countAnew();
             for (Unit unit : build.units) unit.excess = 0;
-            cast = Verdict.NONE;
+            ballot.verdict = Verdict.NONE;
         }
         standing = newStanding;
         offer.tried |= standing == Standing.ON_TRIAL;
@@ -178,7 +167,7 @@
     public void rpcArrived(Rpc rpc) {
         Moment now = host.now();
         arrivals.add(now, 1);
-        if (rpc.customer < customerArrivals.length) customerArrivals[rpc.customer].add(now, 1);
+        customers.add(rpc.customer, now);
         if (settings.oneWayKeys) keyArrivals.add(rpc.key, now, 1);
         feedTokens(rpc.method);
         timely++;
@@ -188,12 +177,14 @@
         }
         host.wake(now.plus(rpc.method.softDeadline), () -> settle(rpc));
         // Rule 1: two rounds before the client's own deadline, since a timer may come a round late.
-        host.wake(rpc.deadline.minus(settings.tick.times(2)), () -> {
-            if (!rpc.ended && !rpc.streaming) giveUp(rpc);
-        });
+        host.wake(rpc.deadline.minus(settings.tick.times(2)), () -> timeUp(rpc));
         route(rpc);
     }
 
+    private void timeUp(Rpc rpc) {
+        if (!rpc.ended && !rpc.streaming) giveUp(rpc);
+    }
+
     private void route(Rpc rpc) {
         Build trial = trial();
         // Alone in place of a copy: where second copies are barred, and a few RPCs with an effect.
@@ -241,21 +232,14 @@
 
     private boolean maySingle(Rpc rpc, Build trial) {
         if (breakerOpen() || !mayTry(trial, rpc.method, 1) || offer.pins.containsKey(rpc.key)) return false;
-        Evidence evidence = offer.evidence;
+        Evidence seen = offer.evidence;
         // every other one of a method at most: each has its like at the earlier build
-        if (rpc.method.idempotent()) {
-            return !settings.secondCopies && evidence.waiting.get(rpc.method.index).isEmpty();
-        }
-        // (6) A build bad for one method with effects shows in no copy: from the second stage on, ten such
-        // RPCs a method and stage go there alone; where one in four fails, ten give the mark's three about
-        // half the time.
-        return offer.stage > 0 && evidence.singles[rpc.method.index] < singles;
+        if (rpc.method.idempotent()) return !settings.secondCopies && seen.waiting.get(rpc.method.index).isEmpty();
+        // (6) A build bad for one method with effects shows in no copy: a few such RPCs go there alone
+        return offer.stage > 0 && seen.singles[rpc.method.index] < singles;
     }
 
-    /**
-     * (5) An ok copy binds its key to the new build, whose cap must then carry the key's traffic: only keys
-     * whose traffic fits into half the cap are tested, so that no popular key is left unserved.
-     */
+    /** (5) An ok copy binds its key to the new build: half the cap must carry the traffic of all keys so tested. */
     private Unit chooseFitting(Rpc rpc, Build trial) {
         Unit unit = chooseIn(rpc, trial);
         if (unit == null || !settings.oneWayKeys || rpc.key == 0) return unit;
@@ -287,10 +271,7 @@
         return pick;
     }
 
-    /**
-     * (3) When a pick is overdue: at three times the method's mean, which grows as everything slows, but not
-     * under 0.45 of the soft deadline; so few healthy picks are, and another can still be in time.
-     */
+    /** (3) At thrice the method's mean, which grows as all slows; another pick can still be in time at 0.45. */
     private Span overdueAfter(Rpc rpc) {
         Span work = rpc.hint == null ? Span.ZERO : rpc.hint.times(3);
         Span usual = Span.ofMs(3 * usualMs(rpc.method));
@@ -301,9 +282,7 @@
         return method.took.at(host.now(), method.softDeadline.ms() / 6, 1); // a guess until answers come
     }
 
-    /**
-     * Silence: no answer from the unit since. It is marked and, where copies may run, another pick is made.
-     */
+    /** Silence, no answer from the unit since: it is marked and, where copies may run, another pick is made. */
     private void overdue(Pick pick) {
         if (pick.outcome != null) return;
         pick.overdue = true;
@@ -358,7 +337,6 @@
         if (tells && (ok || !pick.overdue)) note(pick.unit, ok);
         if (ok || pick.erred()) pick.unit.lastAnswer = now;
         if (ok || pick.outcome == Outcome.TIMED_OUT) learnPace(pick);
-        if (!isOffered(pick.unit.build)) erredEarlier.add(now, pick.erred() ? 1 : 0);
         if (isOffered(pick.unit.build)) seenAtOffered(pick);
         if (pick.pair != null) judge(pick.pair);
         if (!rpc.ended && !rpc.streaming && rpc.out == 0 && !tryAgain(rpc)) giveUp(rpc);
@@ -396,9 +374,8 @@
     }
 
     private void cancelOut(Rpc rpc) {
-        for (Pick pick : rpc.picks) {
-            if (settings.cancel && pick.outcome == null && pick.pair == null) host.cancel(pick);
-        }
+        if (!settings.cancel) return;
+        for (Pick pick : rpc.picks) if (pick.outcome == null && pick.pair == null) host.cancel(pick);
     }
 
     /** Ends an RPC's part in the queue: it was answered, or its soft deadline has passed. */
@@ -408,32 +385,21 @@
     }
 
     /**
-     * (4) Little's law: RPCs out and not yet late, over answers a second, is the wait that a new one faces;
-     * past its mark it is pushed back unseen. Guards against bursts, slow dependencies and lost units alike.
-     * RPCs past their soft deadline do not count: a few stuck ones cannot keep the door shut. A pause can
-     * look like a queue.
+     * (4) Little's law: RPCs out and not yet late, over answers a second, is the wait that a new one faces; past
+     * its mark it is pushed back unseen. Guards against bursts, slow dependencies and lost units alike. A few
+     * stuck RPCs cannot keep the door shut. A relay that sees too little goes by the fleet's wait, if told.
      */
     private boolean overloaded(Rpc rpc) {
         Moment now = host.now();
-        // three more is chance
-        double waitMs = 1000.0 * (timely - 3) / Math.max(soFar(answered), 0.5);
+        double waitMs = 1000.0 * (timely - 3) / Math.max(answered.perSecond(started, now), 0.5); // three more is chance
         boolean byFleet = loadsFresh() && arrivals.perSecond(now) < 10;
         double worth = rpc.method.utility / mostUtility;
-        if (rpc.customer < customerArrivals.length) {
-            double share = settings.customerShares.get(rpc.customer);
-            double own = customerArrivals[rpc.customer].at(now);
-            double fair = (arrivals.at(now) - own) * share / Math.max(1 - share, 0.01);
-            // beside what the others send: of a customer at thrice its share, two RPCs in three are over it
-            if (own > 1.2 * fair && chance.next() > fair / own) worth *= settings.overShareWorth;
-        }
-        // 0.25 to 0.55 of the mean soft deadline: what is left must hold the work itself and its long tail
-        return byFleet ? fleetWaitMs > meanSoftMs * (0.4 + 0.3 * worth) : waitMs > meanSoftMs * (0.25 + 0.3 * worth);
-    }
-
-    /** The rate of a sum of two seconds, of which the first ones are not full. */
-    private double soFar(DecayingSum sum) {
-        Moment now = host.now();
-        return sum.perSecond(now) / (1 - Math.exp(-Math.max(now.since(started).ms(), 100) / 2000));
+        double over = customers.timesShare(rpc.customer, now);
+        // of a customer at thrice its share, two RPCs in three are over it
+        if (over > 1.2 && chance.next() > 1 / over) worth *= settings.overShareWorth;
+        // of the mean soft deadline: what is left must hold the long tail; the fleet's wait holds the work itself
+        return byFleet ? fleetWaitMs > meanSoftMs * (0.4 + 0.3 * worth)
+            : waitMs > meanSoftMs * (0.25 + 0.3 * worth);
     }
 
     /** Once released, a build has every key: earlier units may be listed before news that it goes back. */
@@ -442,22 +408,21 @@
         return standing == Standing.RELEASED ? offer.build : offer.pins.get(key);
     }
 
+    /** Of the newest build that is not on trial, else of an earlier one, else of one on trial too. */
     private Unit chooseAny(Rpc rpc) {
         Unit unit = choose(rpc, false);
         return unit != null ? unit : choose(rpc, true);
     }
 
-    /** Of the newest build that is not on trial, else of an earlier one; or, as told, of one on trial too. */
     private Unit choose(Rpc rpc, boolean trialToo) {
         Build pin = pinOf(rpc.key);
+        Unit unit = null;
         for (Build build : builds.descendingMap().values()) {
-            if (pin != null && build.number < pin.number) return null;
+            if (unit != null || pin != null && build.number < pin.number) break;
             boolean mayUse = trialToo || pin != null && build.number == pin.number;
-            if (onTrial(build) && !(mayUse && mayTry(build, rpc.method, 1))) continue;
-            Unit unit = chooseIn(rpc, build);
-            if (unit != null) return unit;
+            if (!onTrial(build) || mayUse && mayTry(build, rpc.method, 1)) unit = chooseIn(rpc, build);
         }
-        return null;
+        return unit;
     }
 
     private Unit chooseIn(Rpc rpc, Build build) {
@@ -477,13 +442,9 @@
                 repeats.add(now, 1);
                 return unit;
             }
-            if (sick(unit) || farOff(unit)) {
-                rest = unit;
-            } else if (one == null) {
-                one = unit;
-            } else {
-                return cost(one) <= cost(unit) ? one : unit; // the design's two random choices
-            }
+            if (sick(unit) || farOff(unit)) rest = unit;
+            else if (one == null) one = unit;
+            else return cost(one) <= cost(unit) ? one : unit; // the design's two random choices
         }
         return one != null ? one : rest;
     }
@@ -534,25 +495,21 @@
         }
         method.took.add(now, ms);
         method.logNow.add(now, log);
-        seePace(method, method.logBefore, log, 1);
+        seePace(0, method, Math.exp(log), 1);
     }
 
-    private void seePace(Method method, DecayingMean before, double log, double weight) {
+    private void seePace(int source, Method method, double ms, double weight) {
         Moment now = host.now();
         if (!longerThan(2000, started, now)) return; // a fleet that just woke has no queues yet
-        if (!watched(now) || offer.stage == 0) { // the first stage's few picks slow nothing much yet
-            before.add(now, log, weight);
-        } else if (before.count(now) >= 2) {
-            method.slowness.add(now, log - before.at(now, 0, 1e-9), weight);
-        }
+        boolean before = !watched(now) || offer.stage == 0; // the first stage's few picks slow nothing much yet
+        if (before) pace.seeBefore(source, method.index, ms, weight, now);
+        else pace.see(source, method.index, ms, weight, now);
     }
 
     /**
-     * (1) Rule 4. A cold unit gets of this relay what a warm one of its size gets, times the share that it
-     * surely has by now, and times 0.8 so that no queue builds up (never over half the multiple). What warm
-     * units carry is within their capacity, so the sum over relays is within the budget, however uneven they
-     * are. A unit on trial gets no more than an earlier one even when warm, so that pairs compare units under
-     * the same load.
+     * (1) Rule 4. A cold unit gets of this relay what a warm one of its size gets, times the share that it surely
+     * has by now, times 0.8 so that no queue builds up. Warm units carry what they can, so the sum over relays is
+     * within the budget, however uneven they are. On trial it holds for warm ones too: pairs compare like loads.
      */
     private boolean hasRoom(Unit unit, Moment now) {
         if (!onTrial(unit.build) && unit.olderThan(settings.cold, now)) return true;
@@ -577,8 +534,7 @@
         Pick fresh = pair.fresh;
         Pick earlier = pair.earlier;
         if (pair.judged || earlier == null) return;
-        // A copy that is overdue beside a primary that is done would be seen too late: it counts as that
-        // slow.
+        // an overdue one beside one that is done would be seen too late: it counts as that slow
         if (fresh.outcome == null && (!fresh.overdue || earlier.outcome == null)) return;
         if (earlier.outcome == null && !earlier.overdue) return;
         pair.judged = true;
@@ -607,18 +563,16 @@
     }
 
     private double tookOf(Pick pick, Moment now) {
-        double ms = pick.took != null ? pick.took.ms() : now.since(pick.sent).ms();
-        return ms / (pick.rpc.hint != null ? Math.max(pick.rpc.hint.ms(), 1) : usualMs(pick.rpc.method));
+        return pick.took(now).ms() / (pick.rpc.hint != null ? pick.rpc.hint.ms() : usualMs(pick.rpc.method));
     }
 
     /**
-     * (6) The release desk's counts show builds bad for methods that are never copied, and to relays that see
-     * few RPCs the pace of the earlier build. They hold time-outs too, so an error that a pick or a peer's
-     * pair showed must bear them out.
+     * (6) The release desk's counts show builds bad for methods that are never copied, and quiet relays the pace
+     * of the earlier build. They hold time-outs too, so errors that picks or pairs showed must bear them out.
      */
     public void counted(Build build, Method method, double picks, double failed, Span mean) {
         if (!onTrial(build) && quiet() && picks > failed) {
-            seePace(method, method.countedBefore, Math.log(Math.max(mean.ms(), 1)), picks - failed);
+            seePace(1, method, mean.ms(), picks - failed);
         }
         if (offer == null || build.number > offer.build.number) return;
         double[] fresh = offer.freshCounts[method.index];
@@ -626,15 +580,14 @@
         double[] counts = isOffered(build) ? fresh : earlier;
         counts[0] += picks;
         counts[1] += failed;
-        int[] pooled = offer.pooled();
-        boolean borneOut = standing == Standing.RELEASED ? offer.evidence.errors > 2
-            : settings.peers ? pooled[1] > pooled[2] : offer.erred;
+        boolean released = standing == Standing.RELEASED;
+        boolean borneOut = released ? offer.evidence.errors > 2 : settings.peers ? offer.lead() > 0 : offer.erred;
         if (fresh[0] < 12 || fresh[1] < 3 || !borneOut) return;
-        // 3.5 standard errors: one look in four thousand by chance, and there are tens of looks a day; after
-        // the release nothing runs beside it, and up to a fifth of the units may fail for other reasons
-        double mark = Math.max(standing == Standing.RELEASED ? 0.25 : 0.05,
-            3.5 * Shares.error(fresh[1], fresh[0], earlier[1], earlier[0]));
-        offer.evidence.counted |= fresh[1] / fresh[0] - earlier[1] / Math.max(earlier[0], 1) > mark;
+        // 3.5 standard errors: one look in four thousand by chance, and there are tens of looks a day; after the
+        // release nothing runs beside it, and up to a fifth of the units may fail for other reasons
+        double mark = 3.5 * Shares.error(fresh[1], fresh[0], earlier[1], earlier[0]);
+        double excess = fresh[1] / fresh[0] - earlier[1] / Math.max(earlier[0], 1);
+        offer.evidence.counted |= excess > Math.max(released ? 0.25 : 0.05, mark);
         consider();
     }
 
@@ -650,10 +603,7 @@
         consider();
     }
 
-    /**
-     * Relays with few pairs see little alone: peers tell each other what their pairs showed in the stage, a
-     * few bytes when that changed and twice a second at most, and add it up.
-     */
+    /** Pairs are few at each relay: peers tell each other theirs, twice a second at most, and add them up. */
     private void tellPeers(Moment now) {
         if (!settings.peers || trial() == null || offer.evidence.told(offer.pooled()[0] < 120)) return;
         if (offer.told != null && Span.ofMs(500).over(now.since(offer.told))) return;
@@ -672,10 +622,9 @@
     }
 
     /**
-     * Quiet relays see no queue of a unit. So each tells one relay of its picks as they start and end, and this
-     * one tells all, four times a second, which units hold two or more, and the fleet's wait by Little's law.
-     * Where it is silent, the next one is told; of several the lowest is believed. With all messages lost, relays
-     * go by their own picks.
+     * Quiet relays see no queue of a unit. So each tells one relay of its picks as they start and end, and that
+     * one tells all, four times a second, which units hold two or more, and the fleet's wait. Where it is silent,
+     * the next one is told; the lowest is believed. With all messages lost, relays go by their own picks.
      */
     private void report(Unit unit, Span endedAt) {
         if (!settings.peers) return;
@@ -697,7 +646,7 @@
         sumsDue = true;
         host.wake(now.plus(Span.ofMs(250)), () -> {
             sumsDue = false;
-            double waitMs = 1000 * board.out(host.now()) / Math.max(soFar(endedAnywhere), 1);
+            double waitMs = 1000 * board.out(host.now()) / Math.max(endedAnywhere.perSecond(started, host.now()), 1);
             byte[] loads = board.loads(2, waitMs / meanSoftMs, host.now());
             host.tellPeers(loads);
             loadsTold(settings.index, loads);
@@ -716,39 +665,20 @@
         return loadsAt != null && !longerThan(1000, loadsAt, host.now());
     }
 
-    /**
-     * How slow units off trial are beside before the offer, a mean of logarithms in which tails count little,
-     * and its weight; of three methods or more without the slowest, which may wait alone for what only it needs.
-     */
-    private double[] paces(Moment now) {
-        double[] sums = new double[settings.methods.size()];
-        double[] counts = new double[sums.length];
-        for (Method method : settings.methods) {
-            counts[method.index] = method.slowness.count(now);
-            sums[method.index] = method.slowness.at(now, 0, 0.1) * counts[method.index];
-        }
-        return Shares.withoutHighest(sums, counts);
-    }
-
-    private double pace(Moment now) {
-        double[] paces = paces(now);
-        return paces[0] / (paces[1] + 0.1);
-    }
-
-    /** Slower by half, and by three times what chance gives (logarithms of times stray by 0.9). */
+    /** Units off trial are slower by half than before the offer, and by three times what chance gives (logarithms of times stray by 0.9). */
     private boolean slowed(Moment now) {
-        double count = paces(now)[1];
-        return count >= 5 && pace(now) > Math.max(0.4, 2.7 / Math.sqrt(count));
+        double count = pace.weight(now);
+        return count >= 5 && pace.mean(now) > Math.max(0.4, 2.7 / Math.sqrt(count));
     }
 
     /**
-     * A build may slow old and new units alike, and then every pair matches. So where the earlier build runs
-     * slower than before the offer, copies stop for a while: if the pace comes back, and goes again as copies
-     * do, twice, it follows exposure and the build is to blame; else the build is excused until the pace is
-     * good. All relays see the same, so they stop together. Harms where an outside slowdown comes in step.
+     * A build may slow old and new units alike, and then every pair matches. So where the earlier build runs slower
+     * than before the offer, copies stop for a while: if the pace comes back, and goes again as copies do, it
+     * follows exposure and the build is to blame; else the build is excused until the pace is good. All relays see
+     * the same, so they stop together. Harms where an outside slowdown comes in step.
      */
     private void watchPace(Moment now) {
-        if (pace(now) < 0.2) {
+        if (pace.mean(now) < 0.2) {
             offer.slowSince = null;
             offer.excused = false;
             if (offer.pausedAt != null && now.since(offer.pausedAt).over(Span.ofMs(500))) {
@@ -759,10 +689,10 @@
             offer.slowSince = now;
         }
         if (offer.pausedAt == null && !offer.excused && longerThan(700, offer.slowSince, now)) {
-            offer.blames += offer.resumedAt != null && !longerThan(5000 + lagMs(), offer.resumedAt, now) ? 1 : 0;
+            if (offer.resumedAt != null && !longerThan(5000 + lagMs(), offer.resumedAt, now)) offer.blames++;
             offer.pausedAt = now;
         }
-        if (longerThan(5000 + lagMs(), offer.pausedAt, now)) { // twice what queues of a soft deadline need to drain
+        if (longerThan(5000 + lagMs(), offer.pausedAt, now)) { // twice what a queue needs to drain
             offer.pausedAt = null;
             offer.excused = true;
         }
@@ -771,11 +701,8 @@
     /** At the build on trial, against picks at the earlier one of the same method. */
     private boolean paceLost(Moment now) {
         double count = offer.excessLog.count(now);
-        return count >= 4 && offer.excessLog.at(now, 0, 1e-9) > Math.max(0.5, strays * 0.9 / Math.sqrt(count));
-    }
-
-    private double earlierShare(Moment now) {
-        return 0.01 + 1.2 * erredEarlier.at(now, 0, 5);
+        double mark = Math.max(0.5, strays * 0.9 / Math.sqrt(count));
+        return count >= 4 && offer.excessLog.at(now, 0, 1e-9) > mark;
     }
 
     private static boolean longerThan(double ms, Moment since, Moment now) {
@@ -795,12 +722,12 @@
     /** After the release: failures on many units, or a pace that is gone for longer than most bursts last. */
     private boolean failsAfterRelease(Moment now) {
         Evidence seen = offer.evidence;
-        if (pace(now) < 0.6 || !slowed(now)) offer.lost = 0;
-        else if (offer.lostAsOf != null) offer.lost += pace(now) * now.since(offer.lostAsOf).ms() / 1000;
+        if (pace.mean(now) < 0.6 || !slowed(now)) offer.lost = 0;
+        else if (offer.lostAsOf != null) offer.lost += pace.mean(now) * now.since(offer.lostAsOf).ms() / 1000;
         offer.lostAsOf = now;
         boolean many = seen.erring >= Math.max(3, 0.6 * offer.build.units.size());
         return many && seen.errors >= 5 && seen.errors > 0.02 * seen.ended
-            || offer.lost > 6 || Shares.tail(seen.errors, seen.ended, 0.25) < 0.01 / settings.relays;
+            || offer.lost > 6;
     }
 
     private void look() {
@@ -823,39 +750,38 @@
         if (!watched(now)) return;
         Evidence seen = offer.evidence;
         int[] pooled = offer.pooled();
-        int lead = pooled[1] - pooled[2];
-        // Where units of both builds fail, mismatches come both ways and their difference strays by about the
-        // root of their number: 1.5 of those beside the design's marks, so that three to none is still
-        // enough.
-        double stray = 1.5 * (Math.sqrt(pooled[1] + pooled[2]) + Math.sqrt(2 * pooled[2]));
-        boolean failing = lead >= 3 && lead > 0.01 * pooled[0] && lead > stray;
-        // a few mismatches in each of several stages make a bad build too
-        failing |= lead > 0 && lead + offer.carried >= Math.max(5, stray + offer.carriedStray);
-        if (alone) failing &= Shares.tail(pooled[1], seen.pairs, earlierShare(now)) < 0.05 / settings.relays;
+        int lead = offer.lead();
+        // where both builds fail, the difference strays: three to none is enough, ten to three is not; and a few
+        // mismatches in each of several stages make a bad build too
+        double few = alone ? strays / 2 : 1.5;
+        boolean failing = lead >= 3 && lead > 0.01 * pooled[0] && lead > few * offer.stray()
+            || lead > 0 && lead + offer.carried >= Math.max(5, few * (offer.stray() + offer.carriedStray));
         if (!released) watchPace(now);
-        boolean proven = failing || seen.slower || alone && paceLost(now) || seen.counted || offer.blames > (quiet() ? 0 : 1);
+        boolean blamed = offer.blames > (quiet() ? 0 : 1); // the counts of all stray less than a relay's own view
+        boolean proven = failing || blamed || seen.slower || seen.counted || alone && paceLost(now);
         if (proven || released && failsAfterRelease(now)) {
             vote(Verdict.BACK);
         } else if (!released && settings.control == Settings.Control.CLOCKED) {
             if (lead > 0 || inDoubt(now)) vote(Verdict.HOLD);
-            else if (cast != Verdict.NONE) vote(Verdict.NONE);
+            else if (ballot.verdict != Verdict.NONE) vote(Verdict.NONE);
         } else if (!released && !inDoubt(now) && mayMoveOn(now)) {
             vote(Verdict.ON);
         }
     }
 
     /**
-     * After 20 pairs or at the fallback age. Where one vote moves the stage, relays that saw little leave it
-     * to others for two seconds more; the last stage waits for a KS test, or three seconds more.
+     * After 20 pairs or at the fallback age. Where one vote moves the stage, relays that saw little leave it to
+     * others for two seconds more; the last stage waits for a KS test or many pairs, or three seconds more.
      */
     private boolean mayMoveOn(Moment now) {
         Evidence seen = offer.evidence;
         boolean single = settings.control == Settings.Control.SINGLE;
         int pairs = offer.pooled()[0];
-        boolean untested = single && offer.stage == settings.caps.size() - 1 && seen.timed < 20 && pairs < 100;
+        boolean last = offer.stage == settings.caps.size() - 1;
+        boolean untested = single && last && seen.timed < 20 && pairs < 100;
         double fallback = untested ? 6000 : single && pairs < 5 ? 5000 : 3000;
-        // with nobody to add up with, the busiest of many relays must see enough first: their rates differ tenfold
-        if (alone && single) fallback *= Math.max(1, Math.min(3, Math.log(settings.relays) / Math.log(2) / 4));
+        // with nobody to add up with, the busiest of many relays must see enough first
+        if (single && alone) fallback *= Math.max(1, Math.min(3, Math.log(settings.relays) / Math.log(16)));
         return pairs >= 20 && !untested || stageAge(now).over(Span.ofMs(fallback));
     }
 
@@ -870,22 +796,13 @@
     /** Votes expire, get lost or come early: cast anew at half their life, soon where one did not count. */
     private void vote(Verdict verdict) {
         Moment now = host.now();
-        if (verdict == cast) {
-            Span retry = castPending ? settings.callTimeout : Span.ofMs(300);
-            Span due = castCounts ? settings.voteLife.times(0.5) : retry;
-            if (!now.since(castAt).over(due)) return;
-        } else {
-            host.log("vote " + verdict + " on " + offer + ", pace " + pace(now));
-        }
-        cast = verdict;
-        castAt = now;
-        castPending = true;
-        castCounts = false;
+        if (verdict != ballot.verdict) host.log("vote " + verdict + " on " + offer + ", pace " + pace.mean(now));
+        else if (!ballot.due(settings.voteLife.times(0.5), settings.callTimeout, Span.ofMs(300), now)) return;
+        ballot.cast(verdict, now);
         host.vote(offer.build, offer.stage, verdict);
     }
 
     public void voteAnswered(Reply reply) {
-        castPending = false;
-        castCounts = reply == Reply.COUNTS;
+        ballot.answered(reply);
     }
 }
--- a/src/main/java/sprucerock/model/Method.java
+++ b/src/main/java/sprucerock/model/Method.java
@@ -21,10 +21,7 @@
      * What the module notes: how long picks took of late, and the logarithms of all times before an offer.
      */
     public DecayingMean took;
-    public DecayingMean logBefore;
-    public DecayingMean countedBefore;
     public DecayingMean logNow;
-    public DecayingMean slowness;
     /** Picks that may go to a build on trial. */
     public double trialTokens;
 
--- a/src/main/java/sprucerock/model/Offer.java
+++ b/src/main/java/sprucerock/model/Offer.java
@@ -53,6 +53,23 @@
             evidence.earlierFailed + toldPairs[2]};
     }
 
+    /** How many more failures this build showed than the earlier one, in this stage. */
+    public int lead() {
+        return pooled()[1] - pooled()[2];
+    }
+
+    /** A standard error of the lead, the larger the more the earlier build fails too. */
+    public double stray() {
+        int[] sum = pooled();
+        return Math.sqrt(sum[1] + sum[2]) + Math.sqrt(2 * sum[2]);
+    }
+
+    /** Adds the stage that ends to those before. */
+    public void carry() {
+        carried += lead();
+        carriedStray += Math.sqrt(4 * pooled()[2]);
+    }
+
     /** A peer's latest report takes the place of its last one. */
     public void heard(int sender, byte[] report) {
         count(peers.put(sender, report), -1);
--- a/src/main/java/sprucerock/model/Pick.java
+++ b/src/main/java/sprucerock/model/Pick.java
@@ -25,6 +25,11 @@
         this.patience = patience;
     }
 
+    /** How long it took, or has taken so far. */
+    public Span took(Moment now) {
+        return took != null ? took : now.since(sent);
+    }
+
     public boolean mayHaveRun() {
         return outcome == null || !outcome.neverRan;
     }
--- a/src/main/java/sprucerock/stats/DecayingSum.java
+++ b/src/main/java/sprucerock/stats/DecayingSum.java
@@ -26,4 +26,9 @@
     public double perSecond(Moment now) {
         return at(now) * 1000 / lifeMs;
     }
+
+    /** The same for a sum that began then, whose first time is not full. */
+    public double perSecond(Moment began, Moment now) {
+        return perSecond(now) / (1 - Math.exp(-Math.max(now.since(began).ms(), 0.05 * lifeMs) / lifeMs));
+    }
 }
