--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -50,8 +50,6 @@
     private final DecayingSum repeats = new DecayingSum(Span.ofMs(5000));
     private final DecayingSum answered = new DecayingSum(Span.ofMs(2000));
     private int timely;
-    private double mostUtility;
-    private double meanSoftMs;
 
     private final Ballot ballot = new Ballot();
     private Moment lastAsked;
@@ -67,14 +65,12 @@
         alone = !settings.peers && !settings.countsEvery.over(Span.ZERO);
         strays = Math.sqrt(2 * Math.log(20 * settings.relays));
         for (Method method : settings.methods) {
-            mostUtility = Math.max(mostUtility, method.utility);
-            meanSoftMs += method.softDeadline.ms() / settings.methods.size();
             method.took = new DecayingMean(Span.ofMs(10000));
             method.logNow = new DecayingMean(Span.ofMs(20000));
             method.trialTokens = settings.free;
         }
         pace = new Pace(settings.methods.size(), 2, Span.ofMs(20000), Span.ofMs(3000));
-        board = new Board(Span.ofMs(4 * meanSoftMs));
+        board = new Board(Span.ofMs(4 * settings.meanSoftMs));
         if (settings.ask) subscribe();
         look();
     }
@@ -112,16 +108,9 @@
         boolean sameBuild = offer != null && offer.build.number == build.number;
         if (!sameBuild) offer = new Offer(build, settings.methods.size());
         if (!sameBuild || stage != offer.stage || newStanding != standing) {
-            if (sameBuild) offer.carry();
-            offer.stage = stage;
-            offer.since = since;
-            offer.slowSince = null;
-            offer.evidence = new Evidence(settings.methods.size(), 80);
+            offer.enter(stage, since, newStanding == Standing.RELEASED);
             // forty by all relays together; each harms if the build is bad
             singles = (int) (Math.min(10, 40.0 / settings.relays) + chance.next());
-            offer.poolAnew();
-            if (newStanding == Standing.RELEASED) offer.countAnew();
-            for (Unit unit : build.units) unit.excess = 0;
             ballot.verdict = Verdict.NONE;
         }
         standing = newStanding;
@@ -158,7 +147,6 @@
         method.trialTokens = Math.min(settings.free, method.trialTokens + share);
     }
 
-    /** The build that pairs can judge now: on trial, with units; null where there is none. */
     private Build trial() {
         boolean judged = offer != null && standing == Standing.ON_TRIAL && !offer.build.units.isEmpty();
         return judged ? offer.build : null;
@@ -177,14 +165,12 @@
         }
         host.wake(now.plus(rpc.method.softDeadline), () -> settle(rpc));
         // Rule 1: two rounds before the client's own deadline, since a timer may come a round late.
-        host.wake(rpc.deadline.minus(settings.tick.times(2)), () -> timeUp(rpc));
+        host.wake(rpc.deadline.minus(settings.tick.times(2)), () -> {
+            if (!rpc.ended && !rpc.streaming) giveUp(rpc);
+        });
         route(rpc);
     }
 
-    private void timeUp(Rpc rpc) {
-        if (!rpc.ended && !rpc.streaming) giveUp(rpc);
-    }
-
     private void route(Rpc rpc) {
         Build trial = trial();
         // Alone in place of a copy: where second copies are barred, and a few RPCs with an effect.
@@ -299,8 +285,7 @@
         return repeats.at(host.now()) < 1 + 0.05 * arrivals.at(host.now());
     }
 
-    /** Rule 2: whether the RPC may be picked again at all. */
-    private boolean mayRepeat(Rpc rpc) {
+    private boolean mayRepeat(Rpc rpc) { // rule 2
         boolean barred = !settings.secondCopies && rpc.out > 0 || rpc.picks.size() >= settings.maxPicks;
         if (rpc.ended || rpc.streaming || barred) return false;
         Pick first = rpc.firstThatMayHaveRun();
@@ -337,22 +322,16 @@
         if (tells && (ok || !pick.overdue)) note(pick.unit, ok);
         if (ok || pick.erred()) pick.unit.lastAnswer = now;
         if (ok || pick.outcome == Outcome.TIMED_OUT) learnPace(pick);
-        if (isOffered(pick.unit.build)) seenAtOffered(pick);
+        if (isOffered(pick.unit.build)) {
+            offer.erred |= pick.erred();
+            if (standing == Standing.RELEASED) offer.evidence.ended(pick);
+            boolean binds = standing == Standing.ON_TRIAL && settings.oneWayKeys && rpc.key != 0;
+            if (ok && binds) offer.pins.put(rpc.key, offer.build);
+        }
         if (pick.pair != null) judge(pick.pair);
         if (!rpc.ended && !rpc.streaming && rpc.out == 0 && !tryAgain(rpc)) giveUp(rpc);
     }
 
-    private void seenAtOffered(Pick pick) {
-        offer.erred |= pick.erred();
-        if (standing == Standing.RELEASED) {
-            offer.evidence.ended++;
-            offer.evidence.errors += pick.erred() ? 1 : 0;
-            if (pick.erred() && ++pick.unit.excess == 1) offer.evidence.erring++;
-        }
-        boolean binds = settings.oneWayKeys && pick.rpc.key != 0 && pick.outcome == Outcome.OK;
-        if (binds && standing == Standing.ON_TRIAL) offer.pins.put(pick.rpc.key, offer.build);
-    }
-
     public void clientLeft(Rpc rpc) {
         settle(rpc);
         cancelOut(rpc);
@@ -361,11 +340,9 @@
     /** The final answer once nothing more can be done; at once, so that the client can use its time. */
     private void giveUp(Rpc rpc) {
         settle(rpc);
-        Method method = rpc.method;
-        boolean dropped = method.effect == Method.Effect.TOKENED && method.group == Method.Group.ALL;
-        if (rpc.firstThatMayHaveRun() == null || method.idempotent() || dropped) {
+        if (rpc.firstThatMayHaveRun() == null || rpc.method.harmlessAnywhere()) {
             // half a soft deadline: about what a queue that long needs to drain
-            Span wait = method.softDeadline.times(0.5).atMost(settings.maxRetryAfter);
+            Span wait = rpc.method.softDeadline.times(0.5).atMost(settings.maxRetryAfter);
             host.pushBack(rpc, settings.retryAfter ? wait : Span.ZERO);
         } else {
             host.abort(rpc);
@@ -378,8 +355,7 @@
         for (Pick pick : rpc.picks) if (pick.outcome == null && pick.pair == null) host.cancel(pick);
     }
 
-    /** Ends an RPC's part in the queue: it was answered, or its soft deadline has passed. */
-    private void settle(Rpc rpc) {
+    private void settle(Rpc rpc) { // no longer in the queue: answered, or past its soft deadline
         if (!rpc.settled) timely--;
         rpc.settled = true;
     }
@@ -393,19 +369,13 @@
         Moment now = host.now();
         double waitMs = 1000.0 * (timely - 3) / Math.max(answered.perSecond(started, now), 0.5); // three more is chance
         boolean byFleet = loadsFresh() && arrivals.perSecond(now) < 10;
-        double worth = rpc.method.utility / mostUtility;
+        double worth = rpc.method.utility / settings.mostUtility;
         double over = customers.timesShare(rpc.customer, now);
         // of a customer at thrice its share, two RPCs in three are over it
         if (over > 1.2 && chance.next() > 1 / over) worth *= settings.overShareWorth;
         // of the mean soft deadline: what is left must hold the long tail; the fleet's wait holds the work itself
-        return byFleet ? fleetWaitMs > meanSoftMs * (0.4 + 0.3 * worth)
-            : waitMs > meanSoftMs * (0.25 + 0.3 * worth);
-    }
-
-    /** Once released, a build has every key: earlier units may be listed before news that it goes back. */
-    private Build pinOf(long key) {
-        if (offer == null || !settings.oneWayKeys || key == 0) return null;
-        return standing == Standing.RELEASED ? offer.build : offer.pins.get(key);
+        return byFleet ? fleetWaitMs > settings.meanSoftMs * (0.4 + 0.3 * worth)
+            : waitMs > settings.meanSoftMs * (0.25 + 0.3 * worth);
     }
 
     /** Of the newest build that is not on trial, else of an earlier one, else of one on trial too. */
@@ -415,7 +385,9 @@
     }
 
     private Unit choose(Rpc rpc, boolean trialToo) {
-        Build pin = pinOf(rpc.key);
+        boolean keyed = offer != null && settings.oneWayKeys && rpc.key != 0;
+        // once released, a build has every key: earlier units may be listed before news that it goes back
+        Build pin = !keyed ? null : standing == Standing.RELEASED ? offer.build : offer.pins.get(rpc.key);
         Unit unit = null;
         for (Build build : builds.descendingMap().values()) {
             if (unit != null || pin != null && build.number < pin.number) break;
@@ -460,7 +432,6 @@
         return zonePace(unit).at(now, 1, 1) > 1.8 * zonePaces.get(settings.zone).at(now, 1, 1);
     }
 
-    /** The expected wait, as far as own picks and the loads tell. */
     private double cost(Unit unit) {
         double far = unit.zone == settings.zone ? 1 : 1.1; // a tie goes to the relay's own zone
         int out = unit.toldAt == loadsAt && loadsFresh() ? Math.max(unit.out, unit.told) : unit.out;
@@ -479,7 +450,6 @@
         if (!before && sick(unit)) unit.retryAt = host.now().plus(Span.ofMs(1000));
     }
 
-    /** Learns the method's usual time, the unit's pace, and the pace now beside the one before the offer. */
     private void learnPace(Pick pick) {
         Moment now = host.now();
         Method method = pick.rpc.method;
@@ -591,26 +561,18 @@
         consider();
     }
 
-    /** Sees too few RPCs to judge the pace of a fleet by itself within some seconds. */
-    private boolean quiet() {
+    private boolean quiet() { // sees too few RPCs to judge a fleet by itself within some seconds
         return settings.countsEvery.over(Span.ZERO) && arrivals.perSecond(host.now()) < 10;
     }
 
     /** A wrong answer that a client reported stands as a failed copy beside an ok primary, or the reverse. */
     public void flagged(Unit unit) {
-        if (offer != null && isOffered(unit.build)) offer.evidence.freshFailed++;
-        else if (offer != null) offer.evidence.earlierFailed++;
+        if (offer == null) return;
+        if (isOffered(unit.build)) offer.evidence.freshFailed++;
+        else offer.evidence.earlierFailed++;
         consider();
     }
 
-    /** Pairs are few at each relay: peers tell each other theirs, twice a second at most, and add them up. */
-    private void tellPeers(Moment now) {
-        if (!settings.peers || trial() == null || offer.evidence.told(offer.pooled()[0] < 120)) return;
-        if (offer.told != null && Span.ofMs(500).over(now.since(offer.told))) return;
-        offer.told = now;
-        host.tellPeers(offer.evidence.report(offer.build.number, offer.stage));
-    }
-
     public void peerTold(int sender, byte[] contents) {
         if (contents.length < 2) return;
         if (contents[0] == Board.PICK && contents.length == 4) added(contents);
@@ -647,7 +609,7 @@
         host.wake(now.plus(Span.ofMs(250)), () -> {
             sumsDue = false;
             double waitMs = 1000 * board.out(host.now()) / Math.max(endedAnywhere.perSecond(started, host.now()), 1);
-            byte[] loads = board.loads(2, waitMs / meanSoftMs, host.now());
+            byte[] loads = board.loads(2, waitMs / settings.meanSoftMs, host.now());
             host.tellPeers(loads);
             loadsTold(settings.index, loads);
         });
@@ -658,7 +620,7 @@
         hub = sender;
         hubSince = host.now();
         loadsAt = hubSince;
-        fleetWaitMs = board.read(told, loadsAt) * meanSoftMs;
+        fleetWaitMs = board.read(told, loadsAt) * settings.meanSoftMs;
     }
 
     private boolean loadsFresh() {
@@ -734,7 +696,12 @@
         Moment now = host.now();
         if (settings.ask && now.since(lastAsked).over(settings.askWithin.times(0.5))) subscribe();
         consider();
-        tellPeers(now);
+        // pairs are few at each relay: peers tell each other theirs, twice a second at most, and add them up
+        boolean news = settings.peers && trial() != null && !offer.evidence.told(offer.pooled()[0] < 120);
+        if (news && (offer.told == null || longerThan(500, offer.told, now))) {
+            offer.told = now;
+            host.tellPeers(offer.evidence.report(offer.build.number, offer.stage));
+        }
         host.wake(now.plus(Span.ofMs(100)), this::look); // well under a stage's shortest time
     }
 
@@ -782,15 +749,12 @@
         double fallback = untested ? 6000 : single && pairs < 5 ? 5000 : 3000;
         // with nobody to add up with, the busiest of many relays must see enough first
         if (single && alone) fallback *= Math.max(1, Math.min(3, Math.log(settings.relays) / Math.log(16)));
-        return pairs >= 20 && !untested || stageAge(now).over(Span.ofMs(fallback));
-    }
-
-    /** By the start times in the list; while the new units of a stage are not listed, none up to 8 s. */
-    private Span stageAge(Moment now) {
+        // by the start times in the list; while the new units of a stage are not listed, none up to 8 s
         Span known = now.since(offer.since);
         Moment newest = offer.build.newest;
-        if (newest == null || offer.since.after(newest) && Span.ofMs(8000).over(known)) return Span.ZERO;
-        return now.since(newest).atMost(known);
+        boolean missing = newest == null || offer.since.after(newest) && Span.ofMs(8000).over(known);
+        boolean old = !missing && now.since(newest).atMost(known).over(Span.ofMs(fallback));
+        return pairs >= 20 && !untested || old;
     }
 
     /** Votes expire, get lost or come early: cast anew at half their life, soon where one did not count. */
--- a/src/main/java/sprucerock/model/Evidence.java
+++ b/src/main/java/sprucerock/model/Evidence.java
@@ -32,6 +32,14 @@
     public final int[] singles;
     public final List<Deque<Pair>> waiting = new ArrayList<>();
 
+    /** Notes a pick that ended at the build after its release. */
+    public void ended(Pick pick) {
+        ended++;
+        if (!pick.erred()) return;
+        errors++;
+        if (++pick.unit.excess == 1) erring++;
+    }
+
     /** Whether the peers know all failures and, where these matter, all pairs. */
     public boolean told(boolean pairsMatter) {
         return toldFailed == freshFailed + earlierFailed && (toldPairs == pairs || !pairsMatter);
--- a/src/main/java/sprucerock/model/Method.java
+++ b/src/main/java/sprucerock/model/Method.java
@@ -50,6 +50,11 @@
         };
     }
 
+    /** A repeat does no harm at any unit. */
+    public boolean harmlessAnywhere() {
+        return idempotent() || effect == Effect.TOKENED && group == Group.ALL;
+    }
+
     public boolean idempotent() {
         return effect == Effect.IDEMPOTENT;
     }
--- a/src/main/java/sprucerock/model/Offer.java
+++ b/src/main/java/sprucerock/model/Offer.java
@@ -64,10 +64,20 @@
         return Math.sqrt(sum[1] + sum[2]) + Math.sqrt(2 * sum[2]);
     }
 
-    /** Adds the stage that ends to those before. */
-    public void carry() {
-        carried += lead();
-        carriedStray += Math.sqrt(4 * pooled()[2]);
+    /** Begins a stage, or the time after the release, with evidence of its own; adds the one that ends to those before. */
+    public void enter(int newStage, Moment from, boolean released) {
+        if (evidence != null) {
+            carried += lead();
+            carriedStray += Math.sqrt(4 * pooled()[2]);
+        }
+        stage = newStage;
+        since = from;
+        slowSince = null;
+        evidence = new Evidence(freshCounts.length, 80);
+        java.util.Arrays.fill(toldPairs, 0);
+        for (byte[] report : peers.values()) count(report, 1);
+        for (int i = 0; released && i < freshCounts.length; i++) freshCounts[i] = new double[2];
+        for (Unit unit : build.units) unit.excess = 0;
     }
 
     /** A peer's latest report takes the place of its last one. */
@@ -76,17 +86,6 @@
         count(report, 1);
     }
 
-    /** Adds up the reports anew, for a new stage. */
-    public void poolAnew() {
-        java.util.Arrays.fill(toldPairs, 0);
-        for (byte[] report : peers.values()) count(report, 1);
-    }
-
-    /** Forgets what was counted at this build so far. */
-    public void countAnew() {
-        for (double[] counts : freshCounts) java.util.Arrays.fill(counts, 0);
-    }
-
     private void count(byte[] report, int times) {
         boolean same = report != null && report[1] == (byte) build.number && report[2] == (byte) stage;
         for (int i = 0; same && i < 3; i++) toldPairs[i] += times * (report[3 + i] & 0xff);
--- a/src/main/java/sprucerock/model/Settings.java
+++ b/src/main/java/sprucerock/model/Settings.java
@@ -37,6 +37,8 @@
     public final Span voteLife;
     public final Span callTimeout;
     public final int relays;
+    public final double mostUtility;
+    public final double meanSoftMs;
     public final int index;
     public final Span countsEvery;
 
@@ -84,6 +86,8 @@
         index = (int) number("index");
         relays = (int) number("balancers");
         countsEvery = Span.ofMs(optional("specifics.sums_every", 0));
+        mostUtility = methods.stream().mapToDouble(method -> method.utility).max().orElse(1);
+        meanSoftMs = methods.stream().mapToDouble(method -> method.softDeadline.ms()).average().orElse(1000);
         pairs.clear();
     }
 
