--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -8,15 +8,14 @@
 import sprucerock.time.*;
 
 /**
- * All decisions of one relay. The host (the bench adapter, later the relay) makes one Policy at start and calls
+ * All decisions of one relay. The host (bench adapter, later the relay) makes one Policy at start and calls
  * one method for each thing that happens; Policy acts at once through {@link Host}, in sprucerock.host.
  *
- * The ordinary path is the design, "Shadow traffic": an idempotent RPC goes to the earlier build with a copy to
- * the build on trial; pairs are judged by failure match and one-sided KS, stage by stage, and voted on.
- *
- * Beside the design stand six mechanisms: (1) the cold guard, (2) unit health, with the loads that relays tell
- * each other, (3) time-out and further pick under a retry budget, (4) pushback under overload, (5) pinned keys,
- * (6) evidence where pairs can't see.
+ * The ordinary path is the design, "Shadow traffic": an idempotent RPC goes to the earlier build with a copy
+ * to the build on trial; pairs are judged by failure match and one-sided KS, stage by stage, and voted on.
+ * Beside the design stand six mechanisms: (1) the cold guard, (2) unit health, with the loads that relays
+ * tell each other, (3) time-out and further pick under a retry budget, (4) pushback under overload, (5)
+ * pinned keys, (6) evidence where pairs can't see.
  */
 public final class Policy {
     private final Host host;
@@ -31,7 +30,7 @@
     private int singles;
     /** Neither peers nor the desk's counts add up what relays see. */
     private final boolean alone;
-    /** Where any of so many relays can send a build back, marks are set for one unlucky one in twenty days. */
+    /** Where any one relay can send a build back, marks are for one unlucky among all in twenty days. */
     private final double strays;
     private final TreeMap<Integer, DecayingMean> zonePaces = new TreeMap<>();
     private final Pace pace;
@@ -80,6 +79,7 @@
         unit.ready = true;
         if (unit.pace == null) unit.pace = new DecayingMean(Span.ofMs(4000));
         unit.build.add(unit);
+        unit.zonePace = zonePaces.computeIfAbsent(unit.zone, zone -> new DecayingMean(Span.ofMs(8000)));
         board.ready(unit);
         builds.put(unit.build.number, unit.build);
         unit.coldTokens = chance.next(); // relays learn of a unit together: first tokens come one by one
@@ -105,12 +105,10 @@
     }
 
     public void newsOfBuild(Build build, int stage, Standing newStanding, double newCap, Moment since) {
-        boolean sameBuild = offer != null && offer.build.number == build.number;
-        if (!sameBuild) offer = new Offer(build, settings.methods.size());
-        if (!sameBuild || stage != offer.stage || newStanding != standing) {
+        if (!isOffered(build)) offer = new Offer(build, settings.methods.size());
+        if (offer.evidence == null || stage != offer.stage || newStanding != standing) {
             offer.enter(stage, since, newStanding == Standing.RELEASED);
-            // forty by all relays together; each harms if the build is bad
-            singles = (int) (Math.min(10, 40.0 / settings.relays) + chance.next());
+            singles = (int) (Math.min(10, 40.0 / settings.relays) + chance.next()); // forty by all: each harms
             ballot.verdict = Verdict.NONE;
         }
         standing = newStanding;
@@ -147,7 +145,7 @@
         method.trialTokens = Math.min(settings.free, method.trialTokens + share);
     }
 
-    private Build trial() {
+    private Build trial() { // that pairs can judge now
         boolean judged = offer != null && standing == Standing.ON_TRIAL && !offer.build.units.isEmpty();
         return judged ? offer.build : null;
     }
@@ -159,19 +157,16 @@
         if (settings.oneWayKeys) keyArrivals.add(rpc.key, now, 1);
         feedTokens(rpc.method);
         timely++;
-        if (overloaded(rpc)) {
-            giveUp(rpc);
-            return;
-        }
-        host.wake(now.plus(rpc.method.softDeadline), () -> settle(rpc));
+        if (overloaded(rpc)) giveUp(rpc);
+        else route(rpc);
+    }
+
+    private void route(Rpc rpc) {
+        host.wake(host.now().plus(rpc.method.softDeadline), () -> settle(rpc));
         // Rule 1: two rounds before the client's own deadline, since a timer may come a round late.
         host.wake(rpc.deadline.minus(settings.tick.times(2)), () -> {
             if (!rpc.ended && !rpc.streaming) giveUp(rpc);
         });
-        route(rpc);
-    }
-
-    private void route(Rpc rpc) {
         Build trial = trial();
         // Alone in place of a copy: where second copies are barred, and a few RPCs with an effect.
         Unit single = trial != null && maySingle(rpc, trial) ? chooseFitting(rpc, trial) : null;
@@ -220,12 +215,13 @@
         if (breakerOpen() || !mayTry(trial, rpc.method, 1) || offer.pins.containsKey(rpc.key)) return false;
         Evidence seen = offer.evidence;
         // every other one of a method at most: each has its like at the earlier build
-        if (rpc.method.idempotent()) return !settings.secondCopies && seen.waiting.get(rpc.method.index).isEmpty();
+        boolean even = seen.waiting.get(rpc.method.index).isEmpty();
+        if (rpc.method.idempotent()) return !settings.secondCopies && even;
         // (6) A build bad for one method with effects shows in no copy: a few such RPCs go there alone
         return offer.stage > 0 && seen.singles[rpc.method.index] < singles;
     }
 
-    /** (5) An ok copy binds its key to the new build: half the cap must carry the traffic of all keys so tested. */
+    /** (5) An ok copy binds its key to the new build: half the cap must carry what such keys bring. */
     private Unit chooseFitting(Rpc rpc, Build trial) {
         Unit unit = chooseIn(rpc, trial);
         if (unit == null || !settings.oneWayKeys || rpc.key == 0) return unit;
@@ -238,12 +234,10 @@
 
     private Pick send(Rpc rpc, Unit unit) {
         Moment now = host.now();
-        if (onTrial(unit.build)) {
-            sharedTokens--;
-            rpc.method.trialTokens--;
-        } else {
-            homeSends.add(now, 1);
-        }
+        int tried = onTrial(unit.build) ? 1 : 0;
+        sharedTokens -= tried;
+        rpc.method.trialTokens -= tried;
+        homeSends.add(now, 1 - tried);
         unit.coldTokens--;
         Span overdue = overdueAfter(rpc);
         // Where one pick must end before the next, it is cut only when lost: its work so far is thrown away.
@@ -257,25 +251,24 @@
         return pick;
     }
 
-    /** (3) At thrice the method's mean, which grows as all slows; another pick can still be in time at 0.45. */
+    /** (3) At thrice the method's mean, which grows as all slows; at 0.45 another can still be in time. */
     private Span overdueAfter(Rpc rpc) {
-        Span work = rpc.hint == null ? Span.ZERO : rpc.hint.times(3);
-        Span usual = Span.ofMs(3 * usualMs(rpc.method));
-        return rpc.method.softDeadline.times(0.45).atLeast(usual).atLeast(work);
+        Span usual = Span.ofMs(3 * usualMs(rpc.method)).atLeast(rpc.hinted().times(3));
+        return rpc.method.softDeadline.times(0.45).atLeast(usual);
     }
 
     private double usualMs(Method method) {
         return method.took.at(host.now(), method.softDeadline.ms() / 6, 1); // a guess until answers come
     }
 
-    /** Silence, no answer from the unit since: it is marked and, where copies may run, another pick is made. */
+    /** Silence, no answer from the unit since: it is marked and, where copies may run, picked past. */
     private void overdue(Pick pick) {
         if (pick.outcome != null) return;
         pick.overdue = true;
         boolean silent = pick.unit.lastAnswer == null || pick.sent.after(pick.unit.lastAnswer);
         if (silent) note(pick.unit, false);
         pick.unit.pace.add(host.now(), 3);
-        zonePace(pick.unit).add(host.now(), 3);
+        pick.unit.zonePace.add(host.now(), 3);
         if (pick.pair != null) judge(pick.pair);
         if (silent && settings.secondCopies && pick.rpc.out == 1) tryAgain(pick.rpc);
     }
@@ -360,20 +353,20 @@
         rpc.settled = true;
     }
 
-    /**
-     * (4) Little's law: RPCs out and not yet late, over answers a second, is the wait that a new one faces; past
-     * its mark it is pushed back unseen. Guards against bursts, slow dependencies and lost units alike. A few
-     * stuck RPCs cannot keep the door shut. A relay that sees too little goes by the fleet's wait, if told.
-     */
+    // (4) Little's law: RPCs out and not yet late, over answers a second, is the wait that a new one faces;
+    // past its mark it is pushed back unseen. Guards against bursts, slow dependencies and lost units alike;
+    // a few stuck RPCs cannot keep the door shut. A relay that sees too little goes by the fleet's wait, if
+    // told.
     private boolean overloaded(Rpc rpc) {
         Moment now = host.now();
-        double waitMs = 1000.0 * (timely - 3) / Math.max(answered.perSecond(started, now), 0.5); // three more is chance
+        double queue = timely - 3; // three more is chance
+        double waitMs = 1000 * queue / Math.max(answered.perSecond(started, now), 0.5);
         boolean byFleet = loadsFresh() && arrivals.perSecond(now) < 10;
         double worth = rpc.method.utility / settings.mostUtility;
         double over = customers.timesShare(rpc.customer, now);
         // of a customer at thrice its share, two RPCs in three are over it
         if (over > 1.2 && chance.next() > 1 / over) worth *= settings.overShareWorth;
-        // of the mean soft deadline: what is left must hold the long tail; the fleet's wait holds the work itself
+        // what is left must hold the long tail; the fleet's wait holds the work itself
         return byFleet ? fleetWaitMs > settings.meanSoftMs * (0.4 + 0.3 * worth)
             : waitMs > settings.meanSoftMs * (0.25 + 0.3 * worth);
     }
@@ -421,15 +414,11 @@
         return one != null ? one : rest;
     }
 
-    private DecayingMean zonePace(Unit unit) {
-        return zonePaces.computeIfAbsent(unit.zone, zone -> new DecayingMean(Span.ofMs(8000)));
-    }
-
     /** A slow or lossy link: RPCs to a zone take twice as long as those inside the relay's own. */
     private boolean farOff(Unit unit) {
         if (unit.zone == settings.zone || !zonePaces.containsKey(settings.zone)) return false;
         Moment now = host.now();
-        return zonePace(unit).at(now, 1, 1) > 1.8 * zonePaces.get(settings.zone).at(now, 1, 1);
+        return unit.zonePace.at(now, 1, 1) > 1.8 * zonePaces.get(settings.zone).at(now, 1, 1);
     }
 
     private double cost(Unit unit) {
@@ -454,9 +443,10 @@
         Moment now = host.now();
         Method method = pick.rpc.method;
         double ms = Math.max(pick.took.ms(), 1);
-        pick.unit.pace.add(now, Math.min(ms / usualMs(method), 8));
-        zonePace(pick.unit).add(now, Math.min(ms / usualMs(method), 8));
-        double log = Math.log(ms / (pick.rpc.hint == null ? 1 : Math.max(pick.rpc.hint.ms(), 1)));
+        double times = Math.min(ms / usualMs(method), 8);
+        pick.unit.pace.add(now, times);
+        pick.unit.zonePace.add(now, times);
+        double log = Math.log(ms / Math.max(pick.rpc.hinted().ms(), 1));
         if (onTrial(pick.unit.build)) {
             // younger ones look slow for being cold
             if (!isOffered(pick.unit.build) || !pick.unit.olderThan(Span.ofMs(5000), now)) return;
@@ -471,16 +461,15 @@
     private void seePace(int source, Method method, double ms, double weight) {
         Moment now = host.now();
         if (!longerThan(2000, started, now)) return; // a fleet that just woke has no queues yet
-        boolean before = !watched(now) || offer.stage == 0; // the first stage's few picks slow nothing much yet
+        boolean before = !watched(now) || offer.stage == 0; // a first stage's few picks slow nothing much
         if (before) pace.seeBefore(source, method.index, ms, weight, now);
         else pace.see(source, method.index, ms, weight, now);
     }
 
-    /**
-     * (1) Rule 4. A cold unit gets of this relay what a warm one of its size gets, times the share that it surely
-     * has by now, times 0.8 so that no queue builds up. Warm units carry what they can, so the sum over relays is
-     * within the budget, however uneven they are. On trial it holds for warm ones too: pairs compare like loads.
-     */
+    // (1) Rule 4. A cold unit gets of this relay what a warm one of its size gets, times the share that it
+    // surely has by now, times 0.8 so that no queue builds up. Warm units carry what they can, so the sum
+    // over relays is within the budget, however uneven they are. On trial it holds for warm ones too: like
+    // loads.
     private boolean hasRoom(Unit unit, Moment now) {
         if (!onTrial(unit.build) && unit.olderThan(settings.cold, now)) return true;
         double all = 0;
@@ -508,7 +497,8 @@
         if (fresh.outcome == null && (!fresh.overdue || earlier.outcome == null)) return;
         if (earlier.outcome == null && !earlier.overdue) return;
         pair.judged = true;
-        if (trial() != fresh.unit.build || unusable(fresh) || unusable(earlier)) return;
+        // Full, out of reach, called off or cut off says nothing of a build; time-outs are slowness, for KS.
+        if (trial() != fresh.unit.build || fresh.voidsPair() || earlier.voidsPair()) return;
         Evidence seen = offer.evidence;
         seen.pairs++;
         // One sick unit is no sick build: among three or more, one unit gives two mismatches at most.
@@ -520,26 +510,18 @@
         boolean alike = fresh.unit.kind == earlier.unit.kind && !fresh.erred() && !earlier.erred()
             && fresh.unit.olderThan(settled, now) && earlier.unit.olderThan(settled, now);
         int n = alike ? seen.time(tookOf(fresh, now), tookOf(earlier, now)) : 0;
-        if (n == 20 || n == 40 || n == 80) {
-            seen.slower |= seen.slowerSide() > Math.max(0.25, 1.63 * Math.sqrt(2.0 / n));
-        }
+        boolean test = n == 20 || n == 40 || n == 80;
+        seen.slower |= test && seen.slowerSide() > Math.max(0.25, 1.63 * Math.sqrt(2.0 / n));
         consider();
     }
 
-    /** Full, out of reach, called off or cut off says nothing of a build; time-outs are slowness, for KS. */
-    private static boolean unusable(Pick pick) {
-        return pick.outcome != null && pick.outcome.neverRan || pick.outcome == Outcome.CANCELLED
-            || pick.outcome == Outcome.BROKEN;
-    }
-
     private double tookOf(Pick pick, Moment now) {
         return pick.took(now).ms() / (pick.rpc.hint != null ? pick.rpc.hint.ms() : usualMs(pick.rpc.method));
     }
 
-    /**
-     * (6) The release desk's counts show builds bad for methods that are never copied, and quiet relays the pace
-     * of the earlier build. They hold time-outs too, so errors that picks or pairs showed must bear them out.
-     */
+    // (6) The release desk's counts show builds bad for methods that are never copied, and quiet relays the
+    // pace of the earlier build. They hold time-outs too: errors that picks or pairs showed must bear them
+    // out.
     public void counted(Build build, Method method, double picks, double failed, Span mean) {
         if (!onTrial(build) && quiet() && picks > failed) {
             seePace(1, method, mean.ms(), picks - failed);
@@ -551,10 +533,10 @@
         counts[0] += picks;
         counts[1] += failed;
         boolean released = standing == Standing.RELEASED;
-        boolean borneOut = released ? offer.evidence.errors > 2 : settings.peers ? offer.lead() > 0 : offer.erred;
-        if (fresh[0] < 12 || fresh[1] < 3 || !borneOut) return;
-        // 3.5 standard errors: one look in four thousand by chance, and there are tens of looks a day; after the
-        // release nothing runs beside it, and up to a fifth of the units may fail for other reasons
+        boolean led = settings.peers ? offer.lead() > 0 : offer.erred;
+        if (fresh[0] < 12 || fresh[1] < 3 || !(released ? offer.evidence.errors > 2 : led)) return;
+        // 3.5 standard errors: one look in 4,000 by chance, and there are tens a day; after the release
+        // nothing runs beside it, and up to a fifth of the units may fail for other reasons
         double mark = 3.5 * Shares.error(fresh[1], fresh[0], earlier[1], earlier[0]);
         double excess = fresh[1] / fresh[0] - earlier[1] / Math.max(earlier[0], 1);
         offer.evidence.counted |= excess > Math.max(released ? 0.25 : 0.05, mark);
@@ -583,11 +565,9 @@
         }
     }
 
-    /**
-     * Quiet relays see no queue of a unit. So each tells one relay of its picks as they start and end, and that
-     * one tells all, four times a second, which units hold two or more, and the fleet's wait. Where it is silent,
-     * the next one is told; the lowest is believed. With all messages lost, relays go by their own picks.
-     */
+    // Quiet relays see no queue of a unit. So each tells one relay of its picks as they start and end, and
+    // that one tells all, four times a second, which units hold two or more, and the fleet's wait. Where it
+    // is silent the next one is told; the lowest is believed. With all messages lost, own picks must do.
     private void report(Unit unit, Span endedAt) {
         if (!settings.peers) return;
         Moment now = host.now();
@@ -608,8 +588,9 @@
         sumsDue = true;
         host.wake(now.plus(Span.ofMs(250)), () -> {
             sumsDue = false;
-            double waitMs = 1000 * board.out(host.now()) / Math.max(endedAnywhere.perSecond(started, host.now()), 1);
-            byte[] loads = board.loads(2, waitMs / settings.meanSoftMs, host.now());
+            Moment at = host.now();
+            double waitMs = 1000 * board.out(at) / Math.max(endedAnywhere.perSecond(started, at), 1);
+            byte[] loads = board.loads(2, waitMs / settings.meanSoftMs, at);
             host.tellPeers(loads);
             loadsTold(settings.index, loads);
         });
@@ -627,18 +608,16 @@
         return loadsAt != null && !longerThan(1000, loadsAt, host.now());
     }
 
-    /** Units off trial are slower by half than before the offer, and by three times what chance gives (logarithms of times stray by 0.9). */
+    /** Off trial: by half, and by three times what chance gives (logarithms of times stray by 0.9). */
     private boolean slowed(Moment now) {
         double count = pace.weight(now);
         return count >= 5 && pace.mean(now) > Math.max(0.4, 2.7 / Math.sqrt(count));
     }
 
-    /**
-     * A build may slow old and new units alike, and then every pair matches. So where the earlier build runs slower
-     * than before the offer, copies stop for a while: if the pace comes back, and goes again as copies do, it
-     * follows exposure and the build is to blame; else the build is excused until the pace is good. All relays see
-     * the same, so they stop together. Harms where an outside slowdown comes in step.
-     */
+    // A build may slow old and new units alike, and then every pair matches. So where the earlier build runs
+    // slower than before the offer, copies stop for a while: if the pace comes back, and goes again as copies
+    // do, it follows exposure and the build is to blame; else the build is excused until the pace is good.
+    // All relays see the same, so they stop together. Harms where an outside slowdown comes in step.
     private void watchPace(Moment now) {
         if (pace.mean(now) < 0.2) {
             offer.slowSince = null;
@@ -687,16 +666,15 @@
         if (pace.mean(now) < 0.6 || !slowed(now)) offer.lost = 0;
         else if (offer.lostAsOf != null) offer.lost += pace.mean(now) * now.since(offer.lostAsOf).ms() / 1000;
         offer.lostAsOf = now;
-        boolean many = seen.erring >= Math.max(3, 0.6 * offer.build.units.size());
-        return many && seen.errors >= 5 && seen.errors > 0.02 * seen.ended
-            || offer.lost > 6;
+        boolean many = seen.erring >= Math.max(3, 0.6 * offer.build.units.size()) && seen.errors >= 5;
+        return many && seen.errors > 0.02 * seen.ended || offer.lost > 6;
     }
 
     private void look() {
         Moment now = host.now();
         if (settings.ask && now.since(lastAsked).over(settings.askWithin.times(0.5))) subscribe();
         consider();
-        // pairs are few at each relay: peers tell each other theirs, twice a second at most, and add them up
+        // (6) peers tell each other their pairs, twice a second at most, and add them up
         boolean news = settings.peers && trial() != null && !offer.evidence.told(offer.pooled()[0] < 120);
         if (news && (offer.told == null || longerThan(500, offer.told, now))) {
             offer.told = now;
@@ -718,13 +696,12 @@
         Evidence seen = offer.evidence;
         int[] pooled = offer.pooled();
         int lead = offer.lead();
-        // where both builds fail, the difference strays: three to none is enough, ten to three is not; and a few
-        // mismatches in each of several stages make a bad build too
+        // three to none is enough, ten to three is not; a few in each of several stages make a bad build too
         double few = alone ? strays / 2 : 1.5;
         boolean failing = lead >= 3 && lead > 0.01 * pooled[0] && lead > few * offer.stray()
             || lead > 0 && lead + offer.carried >= Math.max(5, few * (offer.stray() + offer.carriedStray));
         if (!released) watchPace(now);
-        boolean blamed = offer.blames > (quiet() ? 0 : 1); // the counts of all stray less than a relay's own view
+        boolean blamed = offer.blames > (quiet() ? 0 : 1); // the desk's counts stray less than own picks
         boolean proven = failing || blamed || seen.slower || seen.counted || alone && paceLost(now);
         if (proven || released && failsAfterRelease(now)) {
             vote(Verdict.BACK);
@@ -736,10 +713,9 @@
         }
     }
 
-    /**
-     * After 20 pairs or at the fallback age. Where one vote moves the stage, relays that saw little leave it to
-     * others for two seconds more; the last stage waits for a KS test or many pairs, or three seconds more.
-     */
+    // After 20 pairs or at the fallback age. Where one vote moves the stage, relays that saw little leave it
+    // to others for two seconds more; the last stage waits for a KS test or many pairs, or three seconds
+    // more.
     private boolean mayMoveOn(Moment now) {
         Evidence seen = offer.evidence;
         boolean single = settings.control == Settings.Control.SINGLE;
@@ -760,7 +736,8 @@
     /** Votes expire, get lost or come early: cast anew at half their life, soon where one did not count. */
     private void vote(Verdict verdict) {
         Moment now = host.now();
-        if (verdict != ballot.verdict) host.log("vote " + verdict + " on " + offer + ", pace " + pace.mean(now));
+        boolean anew = verdict != ballot.verdict;
+        if (anew) host.log("vote " + verdict + " on " + offer + ", pace " + pace.mean(now));
         else if (!ballot.due(settings.voteLife.times(0.5), settings.callTimeout, Span.ofMs(300), now)) return;
         ballot.cast(verdict, now);
         host.vote(offer.build, offer.stage, verdict);
--- a/src/main/java/sprucerock/model/Pick.java
+++ b/src/main/java/sprucerock/model/Pick.java
@@ -34,6 +34,11 @@
         return outcome == null || !outcome.neverRan;
     }
 
+    /** Full, out of reach, called off or cut off: says nothing of a build. */
+    public boolean voidsPair() {
+        return outcome != null && outcome.neverRan || outcome == Outcome.CANCELLED || outcome == Outcome.BROKEN;
+    }
+
     /** The unit answered with an error: no time-out, no broken connection, no full or missing unit. */
     public boolean erred() {
         return outcome == Outcome.ERROR;
--- a/src/main/java/sprucerock/model/Rpc.java
+++ b/src/main/java/sprucerock/model/Rpc.java
@@ -32,6 +32,11 @@
         this.hint = hint;
     }
 
+    /** The hinted work; none without a hint. */
+    public Span hinted() {
+        return hint == null ? Span.ZERO : hint;
+    }
+
     /** The first pick that may have taken effect; null where none may. */
     public Pick firstThatMayHaveRun() {
         for (Pick pick : picks) {
--- a/src/main/java/sprucerock/model/Unit.java
+++ b/src/main/java/sprucerock/model/Unit.java
@@ -25,6 +25,8 @@
     public Moment retryAt;
     public Moment lastAnswer;
     public DecayingMean pace;
+    /** The same for all units of its zone. */
+    public DecayingMean zonePace;
     public double coldTokens;
     public Moment coldAsOf;
     public int excess;
--- a/src/main/java/sprucerock/stats/Pace.java
+++ b/src/main/java/sprucerock/stats/Pace.java
@@ -30,7 +30,7 @@
         slowness[kind].add(now, Math.log(Math.max(ms, 1e-3)) - earlier.at(now, 0, 1e-9), weight);
     }
 
-    /** The mean over all kinds, and its weight; of three or more without the slowest. */
+    /** The mean over all kinds; of three or more that were seen of late without the slowest. */
     public double mean(Moment now) {
         double[] sum = sums(now);
         return sum[0] / (sum[1] + 0.1);
@@ -43,13 +43,14 @@
     private double[] sums(Moment now) {
         double[] all = new double[2];
         double[] slowest = {0, 1e-9};
+        int active = 0;
         for (DecayingMean one : slowness) {
             double[] own = {one.at(now, 0, 0.1) * one.count(now), Math.max(one.count(now), 1e-9)};
+            active += own[1] >= 1 ? 1 : 0;
             all[0] += own[0];
             all[1] += own[1];
             if (own[0] / own[1] > slowest[0] / slowest[1] || one == slowness[0]) slowest = own;
         }
-        boolean leave = slowness.length > 2;
-        return leave ? new double[] {all[0] - slowest[0], all[1] - slowest[1]} : all;
+        return active > 2 ? new double[] {all[0] - slowest[0], all[1] - slowest[1]} : all;
     }
 }
--- a/src/test/java/sprucerock/PolicyTest.java
+++ b/src/test/java/sprucerock/PolicyTest.java
@@ -342,9 +342,9 @@
     @Test
     public void peersAddUpTheirPairs() {
         FakeHost host = new FakeHost().with(6).offering(3, 1, 0.4);
-        host.policy.peerTold(1, new byte[] {2, 1, 9, 2, 0});
+        host.policy.peerTold(1, new byte[] {3, 2, 1, 9, 2, 0});
         assertTrue(host.votes.isEmpty());
-        host.policy.peerTold(2, new byte[] {2, 1, 9, 2, 0});
+        host.policy.peerTold(2, new byte[] {3, 2, 1, 9, 2, 0});
         assertEquals(host.votes.get(0), Verdict.BACK);
     }
 
