--- a/src/test/java/sprucerock/PolicyTest.java
+++ b/src/test/java/sprucerock/PolicyTest.java
@@ -10,6 +10,7 @@
 import sprucerock.host.Host.Reply;
 import sprucerock.host.Host.Standing;
 import sprucerock.host.Host.Verdict;
+import sprucerock.model.Board;
 import sprucerock.model.Outcome;
 import sprucerock.model.Pick;
 import sprucerock.model.Rpc;
@@ -356,4 +357,59 @@
         host.pass(1100);
         assertEquals(host.subscriptions, 2);
     }
+
+    @Test
+    public void loadsToldByPeersSteerTheTwoChoices() {
+        FakeHost host = new FakeHost("index=3", "balancers=9").with(2);
+        Unit full = host.old.units.get(0);
+        Board board = new Board(Span.ofMs(6000));
+        for (Unit unit : host.old.units) board.ready(unit);
+        for (int i = 0; i < 5; i++) board.add(board.pick(full, null), host.now());
+        for (int i = 0; i < 4; i++) {
+            host.policy.peerTold(0, board.loads(2, 0, host.now()));
+            assertNotSame(host.rpc(0).picks.get(0).unit, full);
+        }
+        assertEquals(host.toldTo, java.util.List.of(0, 0, 0, 0));
+    }
+
+    @Test
+    public void nextRelayIsToldWhereTheOneThatAddsUpIsSilent() {
+        FakeHost host = new FakeHost("index=3", "balancers=9").with(4);
+        host.traffic(80, 50);
+        assertTrue(host.toldTo.contains(0) && host.toldTo.contains(1));
+        assertFalse(host.toldTo.contains(4));
+    }
+
+    @Test
+    public void quietRelayPushesBackByTheFleetsWait() {
+        FakeHost host = new FakeHost("index=3", "balancers=9").with(4);
+        host.policy.peerTold(0, new byte[] {Board.LOADS, 60});
+        assertTrue(host.rpc(0).picks.isEmpty());
+        host.pass(1500);
+        assertEquals(host.rpc(0).picks.size(), 1);
+    }
+
+    @Test
+    public void unitsBehindASlowLinkComeLast() {
+        FakeHost host = new FakeHost().with(3);
+        Unit far = new Unit(90, 1, 0, 0, host.old, null, 1);
+        host.policy.unitReady(far);
+        for (int i = 0; i < 60; i++) {
+            Pick pick = host.rpc(0).picks.get(0);
+            host.pass(pick.unit == far ? 600 : 50);
+            host.endAll(Outcome.OK, Outcome.OK);
+        }
+        assertTrue(host.sent.stream().skip(20).noneMatch(pick -> pick.unit == far));
+    }
+
+    @Test
+    public void leadsOfSeveralStagesAddUp() {
+        FakeHost host = new FakeHost().with(4).offering(3, 0, 0.1);
+        for (int stage = 0; stage < 3; stage++) {
+            host.policy.newsOfBuild(host.fresh, stage, Standing.ON_TRIAL, 0.4, host.now());
+            assertFalse(host.votes.contains(Verdict.BACK));
+            host.policy.peerTold(1, new byte[] {3, 2, (byte) stage, 19, 2, 0});
+        }
+        assertTrue(host.votes.contains(Verdict.BACK));
+    }
 }
