One sick unit is no sick build: two new units must fail; counts need a lead of two and 1% of pairs

Cause: fast errors at one of two new units gave three mismatches in the first stage; one mismatch in 120 bore out counts that held time-outs. Relays tell in two bytes which new units failed. May harm where a bad build has two units whose bits coincide: one stage later.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -108,7 +108,7 @@
         if (!isOffered(build)) offer = new Offer(build, settings.methods.size());
         if (offer.evidence == null || stage != offer.stage || newStanding != standing) {
             offer.enter(stage, since, newStanding == Standing.RELEASED);
-            singles = (int) (Math.min(10, 40.0 / settings.relays) + chance.next()); // forty by all: each harms
+            singles = (int) (Math.min(10, 40.0 / settings.relays) + chance.next()); // 40 by all: each harms
             ballot.verdict = Verdict.NONE;
         }
         standing = newStanding;
@@ -501,9 +501,10 @@
         if (trial() != fresh.unit.build || fresh.voidsPair() || earlier.voidsPair()) return;
         Evidence seen = offer.evidence;
         seen.pairs++;
-        // One sick unit is no sick build: among three or more, one unit gives two mismatches at most.
+        // among three units or more, one gives two mismatches at most
         boolean few = fresh.unit.build.units.size() < 3;
-        if (fresh.erred() && !earlier.erred() && (++fresh.unit.excess <= 2 || few)) seen.freshFailed++;
+        boolean freshOnly = fresh.erred() && !earlier.erred();
+        if (freshOnly && (++fresh.unit.excess <= 2 || few)) seen.freshFails(fresh.unit);
         if (earlier.erred() && !fresh.erred()) seen.earlierFailed++;
         Moment now = host.now();
         Span settled = Span.ofMs(5000); // the design's age, under which copies look slow for being cold
@@ -533,7 +534,8 @@
         counts[0] += picks;
         counts[1] += failed;
         boolean released = standing == Standing.RELEASED;
-        boolean led = settings.peers ? offer.lead() > 0 : offer.erred;
+        int lead = offer.lead();
+        boolean led = settings.peers ? lead > 1 && lead > 0.01 * offer.pooled()[0] : offer.erred;
         if (fresh[0] < 12 || fresh[1] < 3 || !(released ? offer.evidence.errors > 2 : led)) return;
         // 3.5 standard errors: one look in 4,000 by chance, and there are tens a day; after the release
         // nothing runs beside it, and up to a fifth of the units may fail for other reasons
@@ -550,7 +552,7 @@
     /** A wrong answer that a client reported stands as a failed copy beside an ok primary, or the reverse. */
     public void flagged(Unit unit) {
         if (offer == null) return;
-        if (isOffered(unit.build)) offer.evidence.freshFailed++;
+        if (isOffered(unit.build)) offer.evidence.freshFails(unit);
         else offer.evidence.earlierFailed++;
         consider();
     }
@@ -559,7 +561,7 @@
         if (contents.length < 2) return;
         if (contents[0] == Board.PICK && contents.length == 4) added(contents);
         else if (contents[0] == Board.LOADS) loadsTold(sender, contents);
-        else if (offer != null && contents.length == 6) {
+        else if (offer != null && contents.length == 8) {
             offer.heard(sender, contents);
             consider();
         }
@@ -696,10 +698,13 @@
         Evidence seen = offer.evidence;
         int[] pooled = offer.pooled();
         int lead = offer.lead();
-        // three to none is enough, ten to three is not; a few in each of several stages make a bad build too
+        // Three to none is enough, ten to three is not; a few in each of several stages make a bad build too.
+        // One sick unit is no sick build: where there are two or more, two must fail.
+        boolean spread = offer.failingUnits() >= Math.min(2, offer.build.units.size());
         double few = alone ? strays / 2 : 1.5;
-        boolean failing = lead >= 3 && lead > 0.01 * pooled[0] && lead > few * offer.stray()
-            || lead > 0 && lead + offer.carried >= Math.max(5, few * (offer.stray() + offer.carriedStray));
+        boolean failing = spread && lead >= 3 && lead > 0.01 * pooled[0] && lead > few * offer.stray()
+            || spread && lead > 0
+                && lead + offer.carried >= Math.max(5, few * (offer.stray() + offer.carriedStray));
         if (!released) watchPace(now);
         boolean blamed = offer.blames > (quiet() ? 0 : 1); // the desk's counts stray less than own picks
         boolean proven = failing || blamed || seen.slower || seen.counted || alone && paceLost(now);
@@ -737,8 +742,10 @@
     private void vote(Verdict verdict) {
         Moment now = host.now();
         boolean anew = verdict != ballot.verdict;
-        if (anew) host.log("vote " + verdict + " on " + offer + ", pace " + pace.mean(now));
-        else if (!ballot.due(settings.voteLife.times(0.5), settings.callTimeout, Span.ofMs(300), now)) return;
+        Span renew = settings.voteLife.times(0.5);
+        if (!anew && !ballot.due(renew, settings.callTimeout, Span.ofMs(300), now)) return;
+        boolean told = anew && (verdict != Verdict.ON || settings.index == 0); // hundreds say the same
+        if (told) host.log("vote " + verdict + " on " + offer + ", pace " + pace.mean(now));
         ballot.cast(verdict, now);
         host.vote(offer.build, offer.stage, verdict);
     }
--- a/src/main/java/sprucerock/model/Evidence.java
+++ b/src/main/java/sprucerock/model/Evidence.java
@@ -40,6 +40,15 @@
         if (++pick.unit.excess == 1) erring++;
     }
 
+    /** Units that failed such a copy, as bits that several may share. */
+    int failedAt;
+
+    /** A copy failed beside a served primary. */
+    public void freshFails(Unit unit) {
+        freshFailed++;
+        failedAt |= 1 << (int) ((unit.id * 0x9E3779B1L >>> 16) & 15);
+    }
+
     /** Whether the peers know all failures and, where these matter, all pairs. */
     public boolean told(boolean pairsMatter) {
         return toldFailed == freshFailed + earlierFailed && (toldPairs == pairs || !pairsMatter);
@@ -63,7 +72,7 @@
         toldPairs = pairs;
         toldFailed = freshFailed + earlierFailed;
         return new byte[] {3, (byte) build, (byte) stage, (byte) Math.min(pairs, 255),
-            (byte) Math.min(freshFailed, 255), (byte) Math.min(earlierFailed, 255)};
+            (byte) Math.min(freshFailed, 255), (byte) Math.min(earlierFailed, 255), (byte) failedAt, (byte) (failedAt >> 8)};
     }
 
     public Evidence(int methods, int most) {
--- a/src/main/java/sprucerock/model/Offer.java
+++ b/src/main/java/sprucerock/model/Offer.java
@@ -74,12 +74,20 @@
         since = from;
         slowSince = null;
         evidence = new Evidence(freshCounts.length, 80);
+        toldFailedAt = 0;
         java.util.Arrays.fill(toldPairs, 0);
         for (byte[] report : peers.values()) count(report, 1);
         for (int i = 0; released && i < freshCounts.length; i++) freshCounts[i] = new double[2];
         for (Unit unit : build.units) unit.excess = 0;
     }
 
+    private int toldFailedAt;
+
+    /** How many units of this build failed copies in this stage, a few perhaps counted as one. */
+    public int failingUnits() {
+        return Integer.bitCount(evidence.failedAt | toldFailedAt);
+    }
+
     /** A peer's latest report takes the place of its last one. */
     public void heard(int sender, byte[] report) {
         count(peers.put(sender, report), -1);
@@ -88,6 +96,7 @@
 
     private void count(byte[] report, int times) {
         boolean same = report != null && report[1] == (byte) build.number && report[2] == (byte) stage;
+        if (same) toldFailedAt |= report[6] & 0xff | (report[7] & 0xff) << 8;
         for (int i = 0; same && i < 3; i++) toldPairs[i] += times * (report[3 + i] & 0xff);
     }
 
--- a/src/test/java/sprucerock/PolicyTest.java
+++ b/src/test/java/sprucerock/PolicyTest.java
@@ -343,9 +343,9 @@
     @Test
     public void peersAddUpTheirPairs() {
         FakeHost host = new FakeHost().with(6).offering(3, 1, 0.4);
-        host.policy.peerTold(1, new byte[] {3, 2, 1, 9, 2, 0});
+        host.policy.peerTold(1, new byte[] {3, 2, 1, 9, 2, 0, 6, 0});
         assertTrue(host.votes.isEmpty());
-        host.policy.peerTold(2, new byte[] {3, 2, 1, 9, 2, 0});
+        host.policy.peerTold(2, new byte[] {3, 2, 1, 9, 2, 0, 6, 0});
         assertEquals(host.votes.get(0), Verdict.BACK);
     }
 
@@ -408,7 +408,7 @@
         for (int stage = 0; stage < 3; stage++) {
             host.policy.newsOfBuild(host.fresh, stage, Standing.ON_TRIAL, 0.4, host.now());
             assertFalse(host.votes.contains(Verdict.BACK));
-            host.policy.peerTold(1, new byte[] {3, 2, (byte) stage, 19, 2, 0});
+            host.policy.peerTold(1, new byte[] {3, 2, (byte) stage, 19, 2, 0, 6, 0});
         }
         assertTrue(host.votes.contains(Verdict.BACK));
     }
