--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -677,7 +677,7 @@
         if (settings.ask && now.since(lastAsked).over(settings.askWithin.times(0.5))) subscribe();
         consider();
         // (6) peers tell each other their pairs, twice a second at most, and add them up
-        boolean news = settings.peers && trial() != null && !offer.evidence.told(offer.pooled()[0] < 120);
+        boolean news = settings.peers && trial() != null && !offer.evidence.told();
         if (news && (offer.told == null || longerThan(500, offer.told, now))) {
             offer.told = now;
             host.tellPeers(offer.evidence.report(offer.build.number, offer.stage));
--- a/src/main/java/sprucerock/model/Evidence.java
+++ b/src/main/java/sprucerock/model/Evidence.java
@@ -49,9 +49,9 @@
         failedAt |= 1 << (int) ((unit.id * 0x9E3779B1L >>> 16) & 15);
     }
 
-    /** Whether the peers know all failures and, where these matter, all pairs. */
-    public boolean told(boolean pairsMatter) {
-        return toldFailed == freshFailed + earlierFailed && (toldPairs == pairs || !pairsMatter);
+    /** Whether the peers know all of this. */
+    public boolean told() {
+        return toldPairs == pairs && toldFailed == freshFailed + earlierFailed;
     }
 
     /** Notes the times of a pair; returns how many are known, 0 where no more are kept. */
