One RPC in twenty is let in whatever the fleet's wait, so that it is seen to fall

Also holds against any stuck figure of the fleet. May let a few RPCs into a fleet that is truly lost.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -367,7 +367,7 @@
         // of a customer at thrice its share, two RPCs in three are over it
         if (over > 1.2 && chance.next() > 1 / over) worth *= settings.overShareWorth;
         // what is left must hold the long tail; the fleet's wait holds the work itself
-        return byFleet ? fleetWaitMs > settings.meanSoftMs * (0.4 + 0.3 * worth)
+        return byFleet ? chance.next() > 0.05 && fleetWaitMs > settings.meanSoftMs * (0.4 + 0.3 * worth)
             : waitMs > settings.meanSoftMs * (0.25 + 0.3 * worth);
     }
 
