--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -28,10 +28,8 @@
     private double sharedTokens;
     private int copiesOut;
     private int singles;
-    /** Neither peers nor the desk's counts add up what relays see. */
-    private final boolean alone;
-    /** Where any one relay can send a build back, marks are for one unlucky among all in twenty days. */
-    private final double strays;
+    private final boolean alone; // neither peers nor the desk's counts add up what relays see
+    private final double strays; // marks for one unlucky relay among all in twenty days
     private final TreeMap<Integer, DecayingMean> zonePaces = new TreeMap<>();
     private final Pace pace;
     private final Board board;
@@ -215,8 +213,7 @@
         if (breakerOpen() || !mayTry(trial, rpc.method, 1) || offer.pins.containsKey(rpc.key)) return false;
         Evidence seen = offer.evidence;
         // every other one of a method at most: each has its like at the earlier build
-        boolean even = seen.waiting.get(rpc.method.index).isEmpty();
-        if (rpc.method.idempotent()) return !settings.secondCopies && even;
+        if (rpc.method.idempotent()) return !settings.secondCopies && seen.even(rpc.method);
         // (6) A build bad for one method with effects shows in no copy: a few such RPCs go there alone
         return offer.stage > 0 && seen.singles[rpc.method.index] < singles;
     }
@@ -402,8 +399,7 @@
             if (first != null && !rpc.method.dropsRepeats(first.unit, unit)) continue;
             if (rpc.triedAt(unit) || !hasRoom(unit, now)) continue;
             if (sick(unit) && mayLook && now.after(unit.retryAt) && budgetHasRoom()) {
-                // a look a second shows recovery soon at little cost
-                unit.retryAt = now.plus(Span.ofMs(1000));
+                unit.retryAt = now.plus(Span.ofMs(1000)); // a look a second shows recovery at little cost
                 repeats.add(now, 1);
                 return unit;
             }
@@ -501,8 +497,7 @@
         if (trial() != fresh.unit.build || fresh.voidsPair() || earlier.voidsPair()) return;
         Evidence seen = offer.evidence;
         seen.pairs++;
-        // among three units or more, one gives two mismatches at most
-        boolean few = fresh.unit.build.units.size() < 3;
+        boolean few = fresh.unit.build.units.size() < 3; // else one unit gives two mismatches at most
         boolean freshOnly = fresh.erred() && !earlier.erred();
         if (freshOnly && (++fresh.unit.excess <= 2 || few)) seen.freshFails(fresh.unit);
         if (earlier.erred() && !fresh.erred()) seen.earlierFailed++;
@@ -537,8 +532,7 @@
         int lead = offer.lead();
         boolean led = settings.peers ? lead > 1 && lead > 0.01 * offer.pooled()[0] : offer.erred;
         if (fresh[0] < 12 || fresh[1] < 3 || !(released ? offer.evidence.errors > 2 : led)) return;
-        // 3.5 standard errors: one look in 4,000 by chance, and there are tens a day; after the release
-        // nothing runs beside it, and up to a fifth of the units may fail for other reasons
+        // 3.5 standard errors: one look in 4,000 by chance; once released a fifth of units may fail anyway
         double mark = 3.5 * Shares.error(fresh[1], fresh[0], earlier[1], earlier[0]);
         double excess = fresh[1] / fresh[0] - earlier[1] / Math.max(earlier[0], 1);
         offer.evidence.counted |= excess > Math.max(released ? 0.25 : 0.05, mark);
@@ -698,8 +692,7 @@
         Evidence seen = offer.evidence;
         int[] pooled = offer.pooled();
         int lead = offer.lead();
-        // Three to none is enough, ten to three is not; a few in each of several stages make a bad build too.
-        // One sick unit is no sick build: where there are two or more, two must fail.
+        // Three to none is enough, ten to three is not; one sick unit of several is no sick build.
         boolean spread = offer.failingUnits() >= Math.min(2, offer.build.units.size());
         double few = alone ? strays / 2 : 1.5;
         boolean failing = spread && lead >= 3 && lead > 0.01 * pooled[0] && lead > few * offer.stray()
@@ -728,7 +721,7 @@
         boolean last = offer.stage == settings.caps.size() - 1;
         boolean untested = single && last && seen.timed < 20 && pairs < 100;
         double fallback = untested ? 6000 : single && pairs < 5 ? 5000 : 3000;
-        // with nobody to add up with, the busiest of many relays must see enough first
+        // alone, the busiest of many relays must see enough first
         if (single && alone) fallback *= Math.max(1, Math.min(3, Math.log(settings.relays) / Math.log(16)));
         // by the start times in the list; while the new units of a stage are not listed, none up to 8 s
         Span known = now.since(offer.since);
--- a/src/main/java/sprucerock/model/Evidence.java
+++ b/src/main/java/sprucerock/model/Evidence.java
@@ -49,6 +49,11 @@
         failedAt |= 1 << (int) ((unit.id * 0x9E3779B1L >>> 16) & 15);
     }
 
+    /** Each of a method's RPCs sent alone has its like at the earlier build. */
+    public boolean even(Method method) {
+        return waiting.get(method.index).isEmpty();
+    }
+
     /** Whether the peers know all of this. */
     public boolean told() {
         return toldPairs == pairs && toldFailed == freshFailed + earlierFailed;
