--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -662,8 +662,10 @@
         if (pace.mean(now) < 0.6 || !slowed(now)) offer.lost = 0;
         else if (offer.lostAsOf != null) offer.lost += pace.mean(now) * now.since(offer.lostAsOf).ms() / 1000;
         offer.lostAsOf = now;
+        // more than a fifth of the units that fail for other reasons; or a few errors on most units
+        boolean share = alone && seen.erring >= 3 && seen.errors > Math.max(3, 0.25 * seen.ended);
         boolean many = seen.erring >= Math.max(3, 0.6 * offer.build.units.size()) && seen.errors >= 5;
-        return many && seen.errors > 0.02 * seen.ended || offer.lost > 6;
+        return share || many && seen.errors > 0.02 * seen.ended || offer.lost > 6;
     }
 
     private void look() {
