--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -607,7 +607,7 @@
     /** Off trial: by half, and by three times what chance gives (logarithms of times stray by 0.9). */
     private boolean slowed(Moment now) {
         double count = pace.weight(now);
-        return count >= 5 && pace.mean(now) > Math.max(0.4, 2.7 / Math.sqrt(count));
+        return count >= 2 && pace.mean(now) > Math.max(0.4, 2.7 / Math.sqrt(count));
     }
 
     // A build may slow old and new units alike, and then every pair matches. So where the earlier build runs
