--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -33,6 +33,8 @@
     private final TreeMap<Integer, DecayingMean> zonePaces = new TreeMap<>();
     private final Pace pace;
     private final Board board;
+    private final Met met = new Met(8);
+    private final DecayingMean noConnection = new DecayingMean(Span.ofMs(5000));
     private int hub;
     private Moment hubSince;
     private Moment loadsAt;
@@ -84,16 +86,14 @@
         unit.coldAsOf = host.now();
     }
 
-    /** Rule 3: a unit that is told to drain or gone gets nothing new at once; no grace is used. */
-    public void unitLeaving(Unit unit) {
+    public void unitLeaving(Unit unit) { // rule 3: gets nothing new at once; no grace is used
         if (unit.ready) unit.build.remove(unit);
         unit.ready = false;
         board.left(unit);
         if (unit.build.units.isEmpty()) builds.remove(unit.build.number);
     }
 
-    /** A broken subscription is asked for again after a pause, so that a busy discovery recovers. */
-    public void listFailed() {
+    public void listFailed() { // asked for again after a pause, so that a busy discovery recovers
         host.wake(host.now().plus(Span.ofMs(500 + 500 * chance.next())), this::subscribe);
     }
 
@@ -134,8 +134,7 @@
             && (method.idempotent() || stage >= settings.guardedStages);
     }
 
-    /** Rule 5: a bucket as deep as the free picks, fed by the cap with each RPC, holds over every window. */
-    private void feedTokens(Method method) {
+    private void feedTokens(Method method) { // rule 5: a bucket as deep as the free picks
         if (offer == null) return;
         boolean ended = standing == Standing.RELEASED || standing == Standing.WITHDRAWN;
         double share = (ended ? settings.caps.get(0) : cap) * (1 - 1e-6);
@@ -197,8 +196,7 @@
         copiesOut++;
     }
 
-    /** The breaker: so many picks under test in flight (the design), none while copies are stopped. */
-    private boolean breakerOpen() {
+    private boolean breakerOpen() { // the design's, and while copies are stopped
         return copiesOut >= 8 || offer.pausedAt != null;
     }
 
@@ -311,6 +309,9 @@
         boolean tells = pick.outcome != Outcome.CANCELLED && pick.outcome != Outcome.MOOT;
         if (tells && (ok || !pick.overdue)) note(pick.unit, ok);
         if (ok || pick.erred()) pick.unit.lastAnswer = now;
+        noConnection.add(now, pick.outcome == Outcome.NOT_CONNECTED ? 1 : 0);
+        if (ok) met.answered(pick.unit);
+        if (pick.outcome == Outcome.NOT_CONNECTED || pick.outcome == Outcome.BROKEN) met.lost(pick.unit);
         if (ok || pick.outcome == Outcome.TIMED_OUT) learnPace(pick);
         if (isOffered(pick.unit.build)) {
             offer.erred |= pick.erred();
@@ -394,8 +395,10 @@
         Unit one = null;
         Unit rest = null;
         // no scan of a large fleet: 24 draws miss the usable third of a build once in 17,000 times
-        for (int i = 0; i < Math.min(build.units.size(), 24); i++) {
-            Unit unit = build.draw(i, chance.next());
+        // Where connections fail, units that answered lately come first: their connections are open.
+        List<Unit> open = noConnection.at(now, 0, 2) > 0.15 ? met.of(build, chance.next()) : List.of();
+        for (int i = 0; i < open.size() + Math.min(build.units.size(), 24); i++) {
+            Unit unit = i < open.size() ? open.get(i) : build.draw(i - open.size(), chance.next());
             if (first != null && !rpc.method.dropsRepeats(first.unit, unit)) continue;
             if (rpc.triedAt(unit) || !hasRoom(unit, now)) continue;
             if (sick(unit) && mayLook && now.after(unit.retryAt) && budgetHasRoom()) {
@@ -410,8 +413,7 @@
         return one != null ? one : rest;
     }
 
-    /** A slow or lossy link: RPCs to a zone take twice as long as those inside the relay's own. */
-    private boolean farOff(Unit unit) {
+    private boolean farOff(Unit unit) { // a slow or lossy link: about twice the own zone's times
         if (unit.zone == settings.zone || !zonePaces.containsKey(settings.zone)) return false;
         Moment now = host.now();
         return unit.zonePace.at(now, 1, 1) > 1.8 * zonePaces.get(settings.zone).at(now, 1, 1);
@@ -604,8 +606,7 @@
         return loadsAt != null && !longerThan(1000, loadsAt, host.now());
     }
 
-    /** Off trial: by half, and by three times what chance gives (logarithms of times stray by 0.9). */
-    private boolean slowed(Moment now) {
+    private boolean slowed(Moment now) { // by half and thrice what chance gives; logarithms stray by 0.9
         double count = pace.weight(now);
         return count >= 2 && pace.mean(now) > Math.max(0.4, 2.7 / Math.sqrt(count));
     }
@@ -635,8 +636,7 @@
         }
     }
 
-    /** At the build on trial, against picks at the earlier one of the same method. */
-    private boolean paceLost(Moment now) {
+    private boolean paceLost(Moment now) { // at the build, against the earlier one by method
         double count = offer.excessLog.count(now);
         double mark = Math.max(0.5, strays * 0.9 / Math.sqrt(count));
         return count >= 4 && offer.excessLog.at(now, 0, 1e-9) > mark;
@@ -646,8 +646,7 @@
         return since != null && now.since(since).over(Span.ofMs(ms));
     }
 
-    /** How late counts tell of a change: a period to fill, and one to come. */
-    private double lagMs() {
+    private double lagMs() { // how late counts tell of a change: a period to fill, one to come
         return quiet() ? 2 * settings.countsEvery.ms() : 0;
     }
 
@@ -681,8 +680,7 @@
         host.wake(now.plus(Span.ofMs(100)), this::look); // well under a stage's shortest time
     }
 
-    /** On trial, or released under fifteen seconds ago: by then what all traffic shows has shown. */
-    private boolean watched(Moment now) {
+    private boolean watched(Moment now) { // for 15 s after release all traffic shows what it shows
         boolean fresh = standing == Standing.RELEASED && offer.tried && !longerThan(15000, offer.since, now);
         return standing == Standing.ON_TRIAL || fresh;
     }
--- /dev/null
+++ b/src/main/java/sprucerock/model/Met.java
@@ -0,0 +1,32 @@
+package sprucerock.model;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.List;
+
+/** The units that answered this relay last. */
+public final class Met {
+    private final LinkedHashSet<Unit> units = new LinkedHashSet<>();
+    private final int most;
+
+    public Met(int most) {
+        this.most = most;
+    }
+
+    public void answered(Unit unit) {
+        if (units.add(unit) && units.size() > most) units.remove(units.iterator().next());
+    }
+
+    public void lost(Unit unit) {
+        units.remove(unit);
+    }
+
+    /** Those of a build that may get new work, from one by the dice (0 to under 1) on. */
+    public List<Unit> of(Build build, double dice) {
+        List<Unit> found = new ArrayList<>(units);
+        found.removeIf(unit -> unit.build != build || !unit.ready);
+        Collections.rotate(found, (int) (dice * found.size()));
+        return found;
+    }
+}
