--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -532,7 +532,7 @@
         counts[1] += failed;
         boolean released = standing == Standing.RELEASED;
         int lead = offer.lead();
-        boolean led = settings.peers ? lead > 1 && lead > 0.01 * offer.pooled()[0] : offer.erred;
+        boolean led = settings.peers ? lead > 0.01 * offer.pooled()[0] : offer.erred;
         if (fresh[0] < 12 || fresh[1] < 3 || !(released ? offer.evidence.errors > 2 : led)) return;
         // 3.5 standard errors: one look in 4,000 by chance; once released a fifth of units may fail anyway
         double mark = 3.5 * Shares.error(fresh[1], fresh[0], earlier[1], earlier[0]);
@@ -664,7 +664,7 @@
         // more than a fifth of the units that fail for other reasons; or a few errors on most units
         boolean share = alone && seen.erring >= 3 && seen.errors > Math.max(3, 0.25 * seen.ended);
         boolean many = seen.erring >= Math.max(3, 0.6 * offer.build.units.size()) && seen.errors >= 5;
-        return share || many && seen.errors > 0.02 * seen.ended || offer.lost > 6;
+        return share || many && seen.errors > 0.02 * seen.ended || offer.lost > 4;
     }
 
     private void look() {
@@ -680,8 +680,8 @@
         host.wake(now.plus(Span.ofMs(100)), this::look); // well under a stage's shortest time
     }
 
-    private boolean watched(Moment now) { // for 15 s after release all traffic shows what it shows
-        boolean fresh = standing == Standing.RELEASED && offer.tried && !longerThan(15000, offer.since, now);
+    private boolean watched(Moment now) { // for 20 s after release all traffic shows what it shows
+        boolean fresh = standing == Standing.RELEASED && offer.tried && !longerThan(20000, offer.since, now);
         return standing == Standing.ON_TRIAL || fresh;
     }
 
