--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -664,7 +664,7 @@
         // more than a fifth of the units that fail for other reasons; or a few errors on most units
         boolean share = alone && seen.erring >= 3 && seen.errors > Math.max(3, 0.25 * seen.ended);
         boolean many = seen.erring >= Math.max(3, 0.6 * offer.build.units.size()) && seen.errors >= 5;
-        return share || many && seen.errors > 0.02 * seen.ended || offer.lost > 4;
+        return share || many && seen.errors > 0.02 * seen.ended || offer.lost > (quiet() ? 4 : 6);
     }
 
     private void look() {
@@ -680,9 +680,9 @@
         host.wake(now.plus(Span.ofMs(100)), this::look); // well under a stage's shortest time
     }
 
-    private boolean watched(Moment now) { // for 20 s after release all traffic shows what it shows
-        boolean fresh = standing == Standing.RELEASED && offer.tried && !longerThan(20000, offer.since, now);
-        return standing == Standing.ON_TRIAL || fresh;
+    private boolean watched(Moment now) { // for 15 s after release all traffic shows what it shows
+        boolean released = standing == Standing.RELEASED && offer.tried;
+        return standing == Standing.ON_TRIAL || released && !longerThan(15000 + lagMs(), offer.since, now);
     }
 
     private void consider() {
