--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -1,8 +1,9 @@
 package sprucerock;
 
 import java.util.*;
+import sprucerock.evidence.*;
 import sprucerock.host.Host;
-import sprucerock.host.Host.*;
+import sprucerock.host.Module;
 import sprucerock.model.*;
 import sprucerock.stats.*;
 import sprucerock.time.*;
@@ -17,7 +18,7 @@
  * tell each other, (3) time-out and further pick under a retry budget, (4) pushback under overload, (5)
  * pinned keys, (6) evidence where pairs can't see.
  */
-public final class Policy {
+public final class Policy implements Module {
     private final Host host;
     private final Settings settings;
     private final Chance chance;
@@ -75,10 +76,7 @@
     }
 
     public void unitReady(Unit unit) {
-        if (unit.ready) return;
-        unit.ready = true;
         if (unit.pace == null) unit.pace = new DecayingMean(Span.ofMs(4000));
-        unit.build.add(unit);
         unit.zonePace = zonePaces.computeIfAbsent(unit.zone, zone -> new DecayingMean(Span.ofMs(8000)));
         board.ready(unit);
         builds.put(unit.build.number, unit.build);
@@ -87,8 +85,6 @@
     }
 
     public void unitLeaving(Unit unit) { // rule 3: gets nothing new at once; no grace is used
-        if (unit.ready) unit.build.remove(unit);
-        unit.ready = false;
         board.left(unit);
         if (unit.build.units.isEmpty()) builds.remove(unit.build.number);
     }
@@ -162,7 +158,7 @@
         host.wake(host.now().plus(rpc.method.softDeadline), () -> settle(rpc));
         // Rule 1: two rounds before the client's own deadline, since a timer may come a round late.
         host.wake(rpc.deadline.minus(settings.tick.times(2)), () -> {
-            if (!rpc.ended && !rpc.streaming) giveUp(rpc);
+            if (!rpc.ended() && !rpc.streaming()) giveUp(rpc);
         });
         Build trial = trial();
         // Alone in place of a copy: where second copies are barred, and a few RPCs with an effect.
@@ -258,14 +254,14 @@
 
     /** Silence, no answer from the unit since: it is marked and, where copies may run, picked past. */
     private void overdue(Pick pick) {
-        if (pick.outcome != null) return;
+        if (pick.outcome() != null) return;
         pick.overdue = true;
         boolean silent = pick.unit.lastAnswer == null || pick.sent.after(pick.unit.lastAnswer);
         if (silent) note(pick.unit, false);
         pick.unit.pace.add(host.now(), 3);
         pick.unit.zonePace.add(host.now(), 3);
         if (pick.pair != null) judge(pick.pair);
-        if (silent && settings.secondCopies && pick.rpc.out == 1) tryAgain(pick.rpc);
+        if (silent && settings.secondCopies && pick.rpc.out() == 1) tryAgain(pick.rpc);
     }
 
     private boolean budgetHasRoom() {
@@ -274,8 +270,8 @@
     }
 
     private boolean mayRepeat(Rpc rpc) { // rule 2
-        boolean barred = !settings.secondCopies && rpc.out > 0 || rpc.picks.size() >= settings.maxPicks;
-        if (rpc.ended || rpc.streaming || barred) return false;
+        boolean barred = !settings.secondCopies && rpc.out() > 0 || rpc.picks.size() >= settings.maxPicks;
+        if (rpc.ended() || rpc.streaming() || barred) return false;
         Pick first = rpc.firstThatMayHaveRun();
         if (first == null || rpc.method.idempotent()) return true;
         return rpc.method.effect == Method.Effect.TOKENED
@@ -293,7 +289,6 @@
     }
 
     public void streamStarted(Pick pick) {
-        pick.rpc.streaming = true;
         settle(pick.rpc);
     }
 
@@ -301,18 +296,18 @@
     public void pickEnded(Pick pick, boolean answers) {
         Moment now = host.now();
         Rpc rpc = pick.rpc;
-        boolean ok = pick.outcome == Outcome.OK;
+        boolean ok = pick.outcome() == Outcome.OK;
         if (answers) settle(rpc);
         if (answers && ok) answered.add(now, 1);
         if (pick.copy) copiesOut--;
         report(pick.unit, now.since(pick.sent));
-        boolean tells = pick.outcome != Outcome.CANCELLED && pick.outcome != Outcome.MOOT;
+        boolean tells = pick.outcome() != Outcome.CANCELLED && pick.outcome() != Outcome.MOOT;
         if (tells && (ok || !pick.overdue)) note(pick.unit, ok);
         if (ok || pick.erred()) pick.unit.lastAnswer = now;
-        noConnection.add(now, pick.outcome == Outcome.NOT_CONNECTED ? 1 : 0);
+        noConnection.add(now, pick.outcome() == Outcome.NOT_CONNECTED ? 1 : 0);
         if (ok) met.answered(pick.unit);
-        if (pick.outcome == Outcome.NOT_CONNECTED || pick.outcome == Outcome.BROKEN) met.lost(pick.unit);
-        if (ok || pick.outcome == Outcome.TIMED_OUT) learnPace(pick);
+        if (pick.outcome() == Outcome.NOT_CONNECTED || pick.outcome() == Outcome.BROKEN) met.lost(pick.unit);
+        if (ok || pick.outcome() == Outcome.TIMED_OUT) learnPace(pick);
         if (isOffered(pick.unit.build)) {
             offer.erred |= pick.erred();
             if (standing == Standing.RELEASED) offer.evidence.ended(pick);
@@ -320,7 +315,7 @@
             if (ok && binds) offer.pins.put(rpc.key, offer.build);
         }
         if (pick.pair != null) judge(pick.pair);
-        if (!rpc.ended && !rpc.streaming && rpc.out == 0 && !tryAgain(rpc)) giveUp(rpc);
+        if (!rpc.ended() && !rpc.streaming() && rpc.out() == 0 && !tryAgain(rpc)) giveUp(rpc);
     }
 
     public void clientLeft(Rpc rpc) {
@@ -343,7 +338,7 @@
 
     private void cancelOut(Rpc rpc) {
         if (!settings.cancel) return;
-        for (Pick pick : rpc.picks) if (pick.outcome == null && pick.pair == null) host.cancel(pick);
+        for (Pick pick : rpc.picks) if (pick.outcome() == null && pick.pair == null) host.cancel(pick);
     }
 
     private void settle(Rpc rpc) { // no longer in the queue: answered, or past its soft deadline
@@ -421,8 +416,8 @@
 
     private double cost(Unit unit) {
         double far = unit.zone == settings.zone ? 1 : 1.1; // a tie goes to the relay's own zone
-        int out = unit.toldAt == loadsAt && loadsFresh() ? Math.max(unit.out, unit.told) : unit.out;
-        double load = 1 + out / Math.max(unit.weight, 0.1);
+        int out = unit.toldAt == loadsAt && loadsFresh() ? Math.max(unit.out(), unit.told) : unit.out();
+        double load = 1 + out / Math.max(unit.weight(), 0.1);
         return load * unit.pace.at(host.now(), 1, 2) * (1 + unit.failed(6)) * far;
     }
 
@@ -440,7 +435,7 @@
     private void learnPace(Pick pick) {
         Moment now = host.now();
         Method method = pick.rpc.method;
-        double ms = Math.max(pick.took.ms(), 1);
+        double ms = Math.max(pick.took().ms(), 1);
         double times = Math.min(ms / usualMs(method), 8);
         pick.unit.pace.add(now, times);
         pick.unit.zonePace.add(now, times);
@@ -477,7 +472,7 @@
             all += build.weight;
             if (!onTrial(build)) warm += build.weightOfOlder;
         }
-        double carried = homeSends.perSecond(now) * unit.weight / Math.max(warm > 0 ? warm : all, 0.1);
+        double carried = homeSends.perSecond(now) * unit.weight() / Math.max(warm > 0 ? warm : all, 0.1);
         double age = unit.started == null ? 1 : Math.max(0, now.since(unit.started).per(settings.cold));
         double share = settings.startShare + (1 - settings.startShare) * Math.min(1, age);
         double perSecond = Math.min(0.5 * settings.tipMultiple, 0.8) * share * carried;
@@ -492,8 +487,8 @@
         Pick earlier = pair.earlier;
         if (pair.judged || earlier == null) return;
         // an overdue one beside one that is done would be seen too late: it counts as that slow
-        if (fresh.outcome == null && (!fresh.overdue || earlier.outcome == null)) return;
-        if (earlier.outcome == null && !earlier.overdue) return;
+        if (fresh.outcome() == null && (!fresh.overdue || earlier.outcome() == null)) return;
+        if (earlier.outcome() == null && !earlier.overdue) return;
         pair.judged = true;
         // Full, out of reach, called off or cut off says nothing of a build; time-outs are slowness, for KS.
         if (trial() != fresh.unit.build || fresh.voidsPair() || earlier.voidsPair()) return;
@@ -725,7 +720,7 @@
         if (single && alone) fallback *= Math.max(1, Math.min(3, Math.log(settings.relays) / Math.log(16)));
         // by the start times in the list; while the new units of a stage are not listed, none up to 8 s
         Span known = now.since(offer.since);
-        Moment newest = offer.build.newest;
+        Moment newest = offer.build.newest();
         boolean missing = newest == null || offer.since.after(newest) && Span.ofMs(8000).over(known);
         boolean old = !missing && now.since(newest).atMost(known).over(Span.ofMs(fallback));
         return pairs >= 20 && !untested || old;
--- a/src/main/java/sprucerock/model/Ballot.java
+++ b/src/main/java/sprucerock/evidence/Ballot.java
@@ -1,7 +1,7 @@
-package sprucerock.model;
+package sprucerock.evidence;
 
-import sprucerock.host.Host.Reply;
-import sprucerock.host.Host.Verdict;
+import sprucerock.model.Reply;
+import sprucerock.model.Verdict;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
--- a/src/main/java/sprucerock/model/Board.java
+++ b/src/main/java/sprucerock/evidence/Board.java
@@ -1,8 +1,9 @@
-package sprucerock.model;
+package sprucerock.evidence;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
+import sprucerock.model.Unit;
 import sprucerock.stats.DecayingSum;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
--- a/src/main/java/sprucerock/model/Customers.java
+++ b/src/main/java/sprucerock/evidence/Customers.java
@@ -1,4 +1,4 @@
-package sprucerock.model;
+package sprucerock.evidence;
 
 import java.util.List;
 import sprucerock.stats.DecayingSum;
--- a/src/main/java/sprucerock/model/Evidence.java
+++ b/src/main/java/sprucerock/evidence/Evidence.java
@@ -1,10 +1,14 @@
-package sprucerock.model;
+package sprucerock.evidence;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
+import sprucerock.model.Method;
+import sprucerock.model.Pair;
+import sprucerock.model.Pick;
+import sprucerock.model.Unit;
 import sprucerock.stats.Ks;
 
 /** What one relay saw of the offered build in its present stage. */
--- a/src/main/java/sprucerock/model/Met.java
+++ b/src/main/java/sprucerock/evidence/Met.java
@@ -1,9 +1,11 @@
-package sprucerock.model;
+package sprucerock.evidence;
 
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.List;
+import sprucerock.model.Build;
+import sprucerock.model.Unit;
 
 /** The units that answered this relay last. */
 public final class Met {
@@ -25,7 +27,7 @@
     /** Those of a build that may get new work, from one by the dice (0 to under 1) on. */
     public List<Unit> of(Build build, double dice) {
         List<Unit> found = new ArrayList<>(units);
-        found.removeIf(unit -> unit.build != build || !unit.ready);
+        found.removeIf(unit -> unit.build != build || !unit.ready());
         Collections.rotate(found, (int) (dice * found.size()));
         return found;
     }
--- a/src/main/java/sprucerock/model/Offer.java
+++ b/src/main/java/sprucerock/evidence/Offer.java
@@ -1,8 +1,10 @@
-package sprucerock.model;
+package sprucerock.evidence;
 
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import sprucerock.model.Build;
+import sprucerock.model.Unit;
 import sprucerock.stats.DecayingMean;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
--- a/src/main/java/sprucerock/host/Host.java
+++ b/src/main/java/sprucerock/host/Host.java
@@ -3,6 +3,7 @@
 import sprucerock.model.Build;
 import sprucerock.model.Pick;
 import sprucerock.model.Rpc;
+import sprucerock.model.Verdict;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
@@ -10,15 +11,6 @@
  * What the module can do; whoever runs it, a bench adapter or a relay, carries it out at once and in order.
  */
 public interface Host {
-    /** On trial, on the way back, released, withdrawn: where a build stands. */
-    enum Standing { ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN }
-
-    /** What a relay says of a build. */
-    enum Verdict { NONE, ON, HOLD, BACK }
-
-    /** How the release desk took a vote. */
-    enum Reply { COUNTS, MOOT, TOO_MANY, ERROR, UNANSWERED }
-
     Moment now();
 
     /** Sends the pick to its unit. The first ok answers the client by itself. */
--- a/src/main/java/sprucerock/model/Build.java
+++ b/src/main/java/sprucerock/model/Build.java
@@ -1,6 +1,7 @@
 package sprucerock.model;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
@@ -8,15 +9,20 @@
 /** One version of the servers' software, with the units that run it and may get new work. */
 public final class Build {
     public final int number;
-    /** In an order that draws change; each unit knows its place. */
-    public final List<Unit> units = new ArrayList<>();
-    /** When the process of a unit started last, of all that were ready so far. */
-    public Moment newest;
+    private final List<Unit> listed = new ArrayList<>();
+    /** Those that may get new work, in an order that draws change; each unit knows its place. */
+    public final List<Unit> units = Collections.unmodifiableList(listed);
+    private Moment newest;
 
     public Build(int number) {
         this.number = number;
     }
 
+    /** When the process of a unit started last, of all that were ready so far; null where all did long ago. */
+    public Moment newest() {
+        return newest;
+    }
+
     private Moment weighedAt;
     /** The weights of all units and of those older than asked for, when they were added up last. */
     public double weight;
@@ -29,35 +35,37 @@
         weight = 0;
         weightOfOlder = 0;
         for (Unit unit : units) {
-            weight += unit.weight;
-            if (unit.olderThan(age, now)) weightOfOlder += unit.weight;
+            weight += unit.weight();
+            if (unit.olderThan(age, now)) weightOfOlder += unit.weight();
         }
     }
 
+    @ByLedger
     public void add(Unit unit) {
         weighedAt = null;
-        unit.place = units.size();
-        units.add(unit);
+        unit.place = listed.size();
+        listed.add(unit);
         if (unit.started != null && (newest == null || unit.started.after(newest))) newest = unit.started;
     }
 
+    @ByLedger
     public void remove(Unit unit) {
         weighedAt = null;
-        swap(unit.place, units.size() - 1);
-        units.remove(units.size() - 1);
+        swap(unit.place, listed.size() - 1);
+        listed.remove(listed.size() - 1);
     }
 
     /** The unit of a draw without return: {@code done} draws came before, {@code dice} is from 0 to under 1. */
     public Unit draw(int done, double dice) {
-        swap(done, done + (int) (dice * (units.size() - done)));
-        return units.get(done);
+        swap(done, done + (int) (dice * (listed.size() - done)));
+        return listed.get(done);
     }
 
     private void swap(int one, int two) {
-        Unit first = units.get(one);
-        Unit second = units.get(two);
-        units.set(one, second);
-        units.set(two, first);
+        Unit first = listed.get(one);
+        Unit second = listed.get(two);
+        listed.set(one, second);
+        listed.set(two, first);
         second.place = one;
         first.place = two;
     }
--- a/src/main/java/sprucerock/model/Pick.java
+++ b/src/main/java/sprucerock/model/Pick.java
@@ -11,8 +11,11 @@
     public final Moment sent;
     /** When to give up on it; null: not before the client does. */
     public final Span patience;
-    public Outcome outcome;
-    public Span took;
+    private Outcome outcome;
+    private Span took;
+    /** What the relay's pool keeps with it; nobody else looks at it. */
+    public Object door;
+    /** Noted by the module, like those below: nothing came within the usual time. */
     public boolean overdue;
     public boolean copy;
     public Pair pair;
@@ -25,6 +28,22 @@
         this.patience = patience;
     }
 
+    /** How it ended; null while it is out. */
+    public Outcome outcome() {
+        return outcome;
+    }
+
+    /** How long it took; null while it is out. */
+    public Span took() {
+        return took;
+    }
+
+    @ByLedger
+    public void end(Outcome how, Span after) {
+        outcome = how;
+        took = after;
+    }
+
     /** How long it took, or has taken so far. */
     public Span took(Moment now) {
         return took != null ? took : now.since(sent);
--- /dev/null
+++ b/src/main/java/sprucerock/model/Reply.java
@@ -0,0 +1,4 @@
+package sprucerock.model;
+
+/** How the release desk took a vote. */
+public enum Reply { COUNTS, MOOT, TOO_MANY, ERROR, UNANSWERED }
--- a/src/main/java/sprucerock/model/Rpc.java
+++ b/src/main/java/sprucerock/model/Rpc.java
@@ -1,6 +1,7 @@
 package sprucerock.model;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
@@ -15,14 +16,19 @@
     public final Moment deadline;
     /** Expected work as the client hinted it; null without a hint. */
     public final Span hint;
-    public final List<Pick> picks = new ArrayList<>(2);
-    public boolean ended;
-    public boolean streaming;
-    public int out;
-    /** No longer part of the queue that a new RPC faces. */
+    private final List<Pick> made = new ArrayList<>(2);
+    /** The picks made for it, in their order; for reading. */
+    public final List<Pick> picks = Collections.unmodifiableList(made);
+    /** What the door that took it keeps with it; nobody else looks at it. */
+    public final Object door;
+    private boolean ended;
+    private boolean streaming;
+    private int out;
+    /** Noted by the module: no longer part of the queue that a new RPC faces. */
     public boolean settled;
 
-    public Rpc(long id, Method method, int customer, long key, Moment arrived, Moment deadline, Span hint) {
+    public Rpc(long id, Method method, int customer, long key, Moment arrived, Moment deadline, Span hint,
+        Object door) {
         this.id = id;
         this.method = method;
         this.customer = customer;
@@ -30,6 +36,43 @@
         this.arrived = arrived;
         this.deadline = deadline;
         this.hint = hint;
+        this.door = door;
+    }
+
+    /** Has its final answer, or its client left. */
+    public boolean ended() {
+        return ended;
+    }
+
+    /** Its answer has begun and belongs to the client. */
+    public boolean streaming() {
+        return streaming;
+    }
+
+    /** How many of its picks have not ended. */
+    public int out() {
+        return out;
+    }
+
+    @ByLedger
+    public void add(Pick pick) {
+        made.add(pick);
+        out++;
+    }
+
+    @ByLedger
+    public void pickEnded() {
+        out--;
+    }
+
+    @ByLedger
+    public void end() {
+        ended = true;
+    }
+
+    @ByLedger
+    public void stream() {
+        streaming = true;
     }
 
     /** The hinted work; none without a hint. */
--- /dev/null
+++ b/src/main/java/sprucerock/model/Standing.java
@@ -0,0 +1,4 @@
+package sprucerock.model;
+
+/** Where a build stands with the release desk. */
+public enum Standing { ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN }
--- a/src/main/java/sprucerock/model/Unit.java
+++ b/src/main/java/sprucerock/model/Unit.java
@@ -13,13 +13,15 @@
     public final Build build;
     /** When the process started; null where that was long ago. */
     public final Moment started;
-    public double weight;
-    public boolean ready;
+    /** What the relay's pool keeps with it; nobody else looks at it. */
+    public Object door;
+    private double weight;
+    private boolean ready;
+    private int out;
     /** Where it stands in its build's list. */
     int place;
 
-    /** What the module notes about the unit. */
-    public int out;
+    /** What the module notes about the unit, from here on. */
     private int outcomes;
     private int seen;
     public Moment retryAt;
@@ -46,6 +48,41 @@
         this.weight = weight;
     }
 
+    /** Its size beside others', with no unit. */
+    public double weight() {
+        return weight;
+    }
+
+    /** May get new work. */
+    public boolean ready() {
+        return ready;
+    }
+
+    /** How many picks of this relay are out at it. */
+    public int out() {
+        return out;
+    }
+
+    @ByLedger
+    public void weigh(double now) {
+        weight = now;
+    }
+
+    @ByLedger
+    public void ready(boolean may) {
+        ready = may;
+    }
+
+    @ByLedger
+    public void picked() {
+        out++;
+    }
+
+    @ByLedger
+    public void pickEnded() {
+        out--;
+    }
+
     public void note(boolean ok) {
         outcomes = outcomes << 1 | (ok ? 1 : 0);
         seen++;
--- /dev/null
+++ b/src/main/java/sprucerock/net/nio/NioLink.java
@@ -0,0 +1,220 @@
+package sprucerock.net.nio;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import sprucerock.net.Link;
+import sprucerock.net.LinkUser;
+import sprucerock.net.Timers.Timer;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/** A connection over an asynchronous socket channel: one read and one gathered write out at a time. */
+final class NioLink implements Link {
+    private static final int READ = 16 * 1024;
+    private static final int GATHERED = 16;
+    private static final Span FINISH = Span.ofMs(2000); // a peer that reads needs far less; others are cut
+
+    private final NioLoop loop;
+    private final AsynchronousSocketChannel channel;
+    private final long mostUnsent;
+    private final LinkUser user;
+    /** Pieces still to be handed to the system, each written up to its position; and those handed, in part gone. */
+    private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
+    private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
+    private ByteBuffer tail;
+    private ByteBuffer in;
+    private long written;
+    private long handed;
+    private long gone;
+    private boolean up;
+    private boolean writing;
+    private boolean marked;
+    private boolean finishing;
+    private boolean closed;
+    private Runnable onceClosed = () -> {};
+    private Timer connecting;
+
+    NioLink(NioLoop loop, AsynchronousSocketChannel channel, long mostUnsent, LinkUser user) {
+        this.loop = loop;
+        this.channel = channel;
+        this.mostUnsent = mostUnsent;
+        this.user = user;
+    }
+
+    void onceClosed(Runnable what) {
+        onceClosed = what;
+    }
+
+    void connect(InetSocketAddress to, Moment until) {
+        connecting = loop.at(until, () -> cut("no connection in time"));
+        try {
+            channel.connect(to, null, new CompletionHandler<Void, Void>() {
+                @Override
+                public void completed(Void none, Void nothing) {
+                    if (!closed) begin();
+                }
+
+                @Override
+                public void failed(Throwable why, Void nothing) {
+                    cut("no connection: " + why.getMessage());
+                }
+            });
+        } catch (RuntimeException e) { // a name that is not known, an address of another family
+            cut("no connection: " + e);
+        }
+    }
+
+    void begin() {
+        if (connecting != null) connecting.cancel();
+        try {
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        } catch (IOException e) {
+            cut("socket refused an option: " + e.getMessage());
+            return;
+        }
+        up = true;
+        in = ByteBuffer.allocateDirect(READ);
+        user.up(this);
+        if (!closed) read();
+        mark();
+    }
+
+    private final CompletionHandler<Integer, Void> reads = new CompletionHandler<>() {
+        @Override
+        public void completed(Integer count, Void none) {
+            if (closed) return;
+            if (count < 0) {
+                cut("closed by the other side");
+                return;
+            }
+            in.flip();
+            user.received(in);
+            in.clear();
+            if (!closed) read();
+        }
+
+        @Override
+        public void failed(Throwable why, Void none) {
+            cut("broken: " + why.getMessage());
+        }
+    };
+
+    private void read() {
+        channel.read(in, null, reads);
+    }
+
+    @Override
+    public ByteBuffer claim(int bytes) {
+        if (tail == null || tail.remaining() < bytes) {
+            tail = loop.chunk(bytes);
+            unsent.add(tail);
+        }
+        ByteBuffer room = tail.slice(tail.position(), bytes);
+        tail.position(tail.position() + bytes);
+        wrote(bytes);
+        return room;
+    }
+
+    @Override
+    public void append(byte[] bytes) {
+        tail = null;
+        ByteBuffer whole = ByteBuffer.wrap(bytes);
+        whole.position(bytes.length); // like a chunk that is full
+        unsent.add(whole);
+        wrote(bytes.length);
+    }
+
+    private void wrote(int bytes) {
+        if (closed) return;
+        written += bytes;
+        if (written - gone > mostUnsent) cut("does not read: more than " + mostUnsent + " bytes wait for it");
+        mark();
+    }
+
+    private void mark() {
+        if (marked || closed) return;
+        marked = true;
+        loop.dirty(this);
+    }
+
+    /** Hands all that waits to the system, unless an earlier write is still out. */
+    void flush() {
+        marked = false;
+        if (writing || closed || !up) return;
+        if (unsent.isEmpty() && out.isEmpty()) {
+            if (finishing) cut("done");
+            return;
+        }
+        tail = null;
+        while (out.size() < GATHERED && !unsent.isEmpty()) {
+            ByteBuffer piece = unsent.poll().flip();
+            handed += piece.remaining();
+            out.add(piece);
+        }
+        writing = true;
+        ByteBuffer[] pieces = out.toArray(new ByteBuffer[0]);
+        channel.write(pieces, 0, pieces.length, 0, TimeUnit.MILLISECONDS, null, writes);
+    }
+
+    private final CompletionHandler<Long, Void> writes = new CompletionHandler<>() {
+        @Override
+        public void completed(Long count, Void none) {
+            writing = false;
+            if (closed) return;
+            gone += count;
+            while (!out.isEmpty() && !out.peek().hasRemaining()) loop.giveBack(out.poll());
+            if (!out.isEmpty() || !unsent.isEmpty() || finishing) mark();
+        }
+
+        @Override
+        public void failed(Throwable why, Void none) {
+            writing = false;
+            cut("broken: " + why.getMessage());
+        }
+    };
+
+    @Override
+    public long written() {
+        return written;
+    }
+
+    @Override
+    public long handed() {
+        return handed;
+    }
+
+    @Override
+    public void finish() {
+        if (closed || finishing) return;
+        finishing = true;
+        loop.at(loop.now().plus(FINISH), () -> cut("not read to the end"));
+        mark();
+    }
+
+    @Override
+    public void cut(String why) {
+        if (closed) return;
+        closed = true;
+        if (connecting != null) connecting.cancel();
+        try {
+            if (channel != null) channel.close();
+        } catch (IOException e) {
+            // the socket is gone either way, and the user is told below
+            why = why + " (" + e.getMessage() + ")";
+        }
+        unsent.clear();
+        out.clear();
+        tail = null;
+        String told = why;
+        loop.post(() -> { // in a later turn, so that no caller is told while it acts
+            onceClosed.run();
+            user.closed(told);
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/net/nio/NioLoop.java
@@ -0,0 +1,304 @@
+package sprucerock.net.nio;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.AbstractExecutorService;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import sprucerock.net.Link;
+import sprucerock.net.LinkUser;
+import sprucerock.net.Net;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/**
+ * One thread that runs everything of a relay, over NIO.2's asynchronous channels. The channels' own thread waits for the
+ * system and reads; it hands each completion to this loop's queue, the only thing that crosses threads here.
+ *
+ * A turn: due timers, the completions there were at its start, what was put off to its end, then one gathered write a
+ * link. The queue holds no more than the completions that are out, two a link, and what {@link #post} brings.
+ */
+public final class NioLoop implements Net, AutoCloseable {
+    private static final int CHUNK = 16 * 1024;
+    private static final int KEPT_CHUNKS = 1024;
+
+    private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final AtomicBoolean sleeping = new AtomicBoolean();
+    private final PriorityQueue<Due> timers = new PriorityQueue<>();
+    private final ArrayDeque<Runnable> putOff = new ArrayDeque<>();
+    private final List<NioLink> dirty = new ArrayList<>();
+    private final ArrayDeque<ByteBuffer> chunks = new ArrayDeque<>();
+    private final AsynchronousChannelGroup group;
+    private final Thread thread;
+    private final Consumer<Throwable> broken;
+    private final long origin = System.nanoTime();
+    private volatile boolean stopped;
+    private Moment now = Moment.ofMs(0);
+    private long made;
+
+    /** Starts a loop; what throws in it ends up with {@code broken}, and the loop goes on. */
+    public NioLoop(String name, Consumer<Throwable> broken) throws IOException {
+        this.broken = broken;
+        group = AsynchronousChannelGroup.withThreadPool(new Completions());
+        thread = new Thread(this::run, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private record Due(double whenMs, long order, Once what) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int byTime = Double.compare(whenMs, other.whenMs);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    private static final class Once implements Timer {
+        private Runnable what;
+
+        Once(Runnable what) {
+            this.what = what;
+        }
+
+        @Override
+        public void cancel() {
+            what = null; // its place in the queue goes when its time comes
+        }
+
+        void run() {
+            Runnable due = what;
+            what = null;
+            if (due != null) due.run();
+        }
+    }
+
+    /** What the channels' thread calls to have a completion handled. */
+    private final class Completions extends AbstractExecutorService {
+        private volatile boolean shut;
+
+        @Override
+        public void execute(Runnable task) {
+            post(task);
+        }
+
+        @Override
+        public void shutdown() {
+            shut = true;
+        }
+
+        @Override
+        public List<Runnable> shutdownNow() {
+            shut = true;
+            return List.of();
+        }
+
+        @Override
+        public boolean isShutdown() {
+            return shut;
+        }
+
+        @Override
+        public boolean isTerminated() {
+            return shut;
+        }
+
+        @Override
+        public boolean awaitTermination(long timeout, TimeUnit unit) {
+            return shut;
+        }
+    }
+
+    /** From any thread: runs {@code task} on the loop's. */
+    public void post(Runnable task) {
+        tasks.add(task);
+        if (sleeping.get() && sleeping.compareAndSet(true, false)) LockSupport.unpark(thread);
+    }
+
+    private void run() {
+        while (!stopped) {
+            now = clock();
+            while (!timers.isEmpty() && timers.peek().whenMs <= now.ms()) guarded(timers.poll().what::run);
+            // not more than a turn's worth: timers and writes must get their turn under any load
+            for (int i = 0; i < 512; i++) {
+                Runnable task = tasks.poll();
+                if (task == null) break;
+                guarded(task);
+            }
+            while (!putOff.isEmpty()) guarded(putOff.poll());
+            for (int i = 0; i < dirty.size(); i++) dirty.get(i).flush();
+            dirty.clear();
+            if (tasks.isEmpty()) sleep();
+        }
+    }
+
+    private void sleep() {
+        double ms = timers.isEmpty() ? 1000 : timers.peek().whenMs - clock().ms();
+        if (ms <= 0) return;
+        sleeping.set(true);
+        if (tasks.isEmpty() && !stopped) LockSupport.parkNanos(this, (long) (Math.min(ms, 1000) * 1e6));
+        sleeping.set(false);
+    }
+
+    private Moment clock() {
+        return Moment.ofMs((System.nanoTime() - origin) / 1e6);
+    }
+
+    /** Microseconds on the machine's monotonic clock, which its processes share: for traces. */
+    public static long machineMicros() {
+        return System.nanoTime() / 1000;
+    }
+
+    private void guarded(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException | Error e) {
+            broken.accept(e);
+        }
+    }
+
+    @Override
+    public Moment now() {
+        return now;
+    }
+
+    @Override
+    public Timer at(Moment when, Runnable what) {
+        Once once = new Once(what);
+        timers.add(new Due(when.ms(), made++, once));
+        return once;
+    }
+
+    @Override
+    public void atTurnsEnd(Runnable what) {
+        putOff.add(what);
+    }
+
+    void dirty(NioLink link) {
+        dirty.add(link);
+    }
+
+    ByteBuffer chunk(int bytes) {
+        if (bytes > CHUNK) return ByteBuffer.allocate(bytes);
+        ByteBuffer kept = chunks.poll();
+        return kept != null ? kept : ByteBuffer.allocateDirect(CHUNK);
+    }
+
+    void giveBack(ByteBuffer chunk) {
+        if (chunk.capacity() != CHUNK || !chunk.isDirect() || chunks.size() >= KEPT_CHUNKS) return;
+        chunks.add(chunk.clear());
+    }
+
+    @Override
+    public Link connect(InetSocketAddress to, Span within, long mostUnsent, LinkUser user) {
+        NioLink link;
+        try {
+            link = new NioLink(this, AsynchronousSocketChannel.open(group), mostUnsent, user);
+        } catch (IOException e) {
+            NioLink none = new NioLink(this, null, mostUnsent, user);
+            none.cut("no socket: " + e.getMessage());
+            return none;
+        }
+        link.connect(to, now.plus(within));
+        return link;
+    }
+
+    @Override
+    public Listener listen(InetSocketAddress at, int most, long mostUnsent, Supplier<LinkUser> users)
+        throws IOException {
+        AsynchronousServerSocketChannel server = AsynchronousServerSocketChannel.open(group);
+        try {
+            server.bind(at, 1024);
+        } catch (IOException | RuntimeException e) {
+            server.close();
+            throw e;
+        }
+        Door door = new Door(server, most, mostUnsent, users);
+        server.accept(null, door);
+        return door;
+    }
+
+    private final class Door implements Listener, CompletionHandler<AsynchronousSocketChannel, Void> {
+        private final AsynchronousServerSocketChannel server;
+        private final int most;
+        private final long mostUnsent;
+        private final Supplier<LinkUser> users;
+        private int open;
+
+        Door(AsynchronousServerSocketChannel server, int most, long mostUnsent, Supplier<LinkUser> users) {
+            this.server = server;
+            this.most = most;
+            this.mostUnsent = mostUnsent;
+            this.users = users;
+        }
+
+        @Override
+        public void completed(AsynchronousSocketChannel channel, Void none) {
+            if (server.isOpen()) server.accept(null, this);
+            if (open >= most) {
+                try {
+                    channel.close();
+                } catch (IOException e) {
+                    broken.accept(e);
+                }
+                return;
+            }
+            open++;
+            NioLink link = new NioLink(NioLoop.this, channel, mostUnsent, users.get());
+            link.onceClosed(() -> open--);
+            link.begin();
+        }
+
+        @Override
+        public void failed(Throwable why, Void none) {
+            if (!server.isOpen()) return;
+            broken.accept(why); // out of file descriptors, say: tried again soon, so that it recovers by itself
+            at(now.plus(Span.ofMs(100)), () -> {
+                if (server.isOpen()) server.accept(null, this);
+            });
+        }
+
+        @Override
+        public InetSocketAddress address() {
+            try {
+                return (InetSocketAddress) server.getLocalAddress();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        @Override
+        public void close() {
+            try {
+                server.close();
+            } catch (IOException e) {
+                broken.accept(e);
+            }
+        }
+    }
+
+    /** Ends the loop and all its links, from any thread. */
+    @Override
+    public void close() {
+        stopped = true;
+        LockSupport.unpark(thread);
+        try {
+            group.shutdownNow();
+        } catch (IOException e) {
+            broken.accept(e);
+        }
+    }
+}
--- a/src/main/java/sprucerock/sim/Relay.java
+++ b/src/main/java/sprucerock/sim/Relay.java
@@ -6,44 +6,53 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
-import sprucerock.Policy;
 import sprucerock.host.Host;
+import sprucerock.host.Module;
+import sprucerock.ledger.Ledger;
 import sprucerock.model.Build;
 import sprucerock.model.Outcome;
 import sprucerock.model.Pick;
+import sprucerock.model.Reply;
 import sprucerock.model.Rpc;
 import sprucerock.model.Settings;
-import sprucerock.model.Unit;
+import sprucerock.model.Standing;
+import sprucerock.model.Verdict;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
-/** One relay's module, its ids and its objects: events in as calls, calls of the host out as actions. */
+/** One relay at the bench's door: events in as calls of the ledger, calls of the host out as actions. */
 final class Relay implements Host {
+    /** Makes the module of a relay. */
+    interface Maker {
+        Module make(Host host, Settings settings, long seed);
+    }
+
     private static final int READY = 1;
     private static final int DRAINING = 2;
 
     private final long id;
     private final Replies replies;
-    private final Map<Long, Rpc> rpcs = new HashMap<>();
-    private final TreeMap<Long, Unit> units = new TreeMap<>();
-    private final TreeMap<Integer, Build> builds = new TreeMap<>();
+    private final Maker maker;
     private final Map<Long, Runnable> timers = new HashMap<>();
     private long timerCount;
     private Settings settings;
-    private Policy policy;
+    private Ledger ledger;
+    private Module policy;
     private Moment now;
 
-    Relay(long id, Replies replies) {
+    Relay(long id, Replies replies, Maker maker) {
         this.id = id;
         this.replies = replies;
+        this.maker = maker;
     }
 
     void start(Moment at, long seed, String text) {
         now = at;
         guarded(() -> {
-            settings = new Settings(text);
-            policy = new Policy(this, settings, seed);
+            settings = SettingsText.read(text);
+            ledger = new Ledger(settings);
+            policy = maker.make(this, settings, seed);
+            ledger.tell(policy);
         });
     }
 
@@ -60,42 +69,18 @@
                 named.add(entry.unit());
                 listed(entry);
             }
-            if (form != 0) {
-                for (Unit unit : units.values().toArray(new Unit[0])) {
-                    if (!named.contains(unit.id)) removed(unit);
-                }
-            }
+            if (form != 0) ledger.keepOnly(named);
         });
     }
 
     private void listed(Simhost.Entry entry) {
-        Unit known = units.get(entry.unit());
         if (entry.health() != READY && entry.health() != DRAINING) {
-            if (known != null) removed(known);
+            ledger.removed(entry.unit());
             return;
         }
         Moment since = entry.since() == 0 ? null : Moment.ofMs(entry.since());
-        if (known != null && !known.sameRun(entry.build(), since)) {
-            removed(known);
-            known = null;
-        }
-        if (known == null) {
-            Build build = builds.computeIfAbsent(entry.build(), Build::new);
-            known = new Unit(entry.unit(), entry.zone(), entry.kind(), entry.cell(), build, since,
-                entry.weight());
-            units.put(entry.unit(), known);
-        }
-        known.weight = entry.weight();
-        if (entry.health() == READY) {
-            policy.unitReady(known);
-        } else {
-            policy.unitLeaving(known);
-        }
-    }
-
-    private void removed(Unit unit) {
-        units.remove(unit.id);
-        policy.unitLeaving(unit);
+        ledger.listed(entry.unit(), entry.zone(), entry.kind(), entry.cell(), entry.build(), since, entry.weight(),
+            entry.health() == READY);
     }
 
     /** Takes an event that is no list; false where the code is none of the wire's. */
@@ -128,10 +113,8 @@
         double hint = f.getDouble();
         boolean hinted = (f.get() & 1) != 0;
         return () -> {
-            Rpc rpc = new Rpc(handle, settings.methods.get(method), customer, key, now, deadline,
-                hinted ? Span.ofMs(hint) : null);
-            rpcs.put(handle, rpc);
-            policy.rpcArrived(rpc);
+            ledger.arrived(handle, settings.methods.get(method), customer, key, now, deadline,
+                hinted ? Span.ofMs(hint) : null, null);
         };
     }
 
@@ -141,8 +124,8 @@
         int shot = f.get() & 0xff;
         f.getDouble();
         return () -> {
-            Rpc rpc = rpcs.get(handle);
-            if (rpc != null && shot < rpc.picks.size()) policy.streamStarted(rpc.picks.get(shot));
+            Rpc rpc = ledger.rpc(handle);
+            if (rpc != null && shot < rpc.picks.size()) ledger.streamStarted(rpc.picks.get(shot));
         };
     }
 
@@ -155,29 +138,16 @@
         Outcome outcome = outcome(f.get() & 0xff);
         load(f);
         return () -> {
-            Rpc rpc = rpcs.get(handle);
-            if (rpc == null || shot >= rpc.picks.size()) return;
-            Pick pick = rpc.picks.get(shot);
-            if (pick.outcome != null) return;
-            pick.outcome = outcome;
-            pick.took = took;
-            pick.unit.out--;
-            rpc.out--;
-            boolean answered = closed && !rpc.ended;
-            rpc.ended |= closed;
-            policy.pickEnded(pick, answered);
-            forget(rpc);
+            Rpc rpc = ledger.rpc(handle);
+            if (rpc != null && shot < rpc.picks.size()) ledger.pickEnded(rpc.picks.get(shot), outcome, took, closed);
         };
     }
 
     private Runnable gone(ByteBuffer f) {
         long handle = u32(f);
         return () -> {
-            Rpc rpc = rpcs.get(handle);
-            if (rpc == null || rpc.ended) return;
-            rpc.ended = true;
-            policy.clientLeft(rpc);
-            forget(rpc);
+            Rpc rpc = ledger.rpc(handle);
+            if (rpc != null) ledger.clientLeft(rpc);
         };
     }
 
@@ -212,9 +182,7 @@
         return () -> {
             if (answer) policy.voteAnswered(reply(status));
             if (status == 1 && standing < Standing.values().length) {
-                Build build = builds.computeIfAbsent(number, Build::new);
-                policy.newsOfBuild(build, stage, Standing.values()[standing], cap, now.minus(lasted));
-                builds.values().removeIf(b -> b.units.isEmpty() && b.number < number - 1);
+                ledger.news(number, stage, Standing.values()[standing], cap, now.minus(lasted));
             }
         };
     }
@@ -226,24 +194,14 @@
         long failed = u32(f);
         Span mean = Span.ofMs(f.getDouble());
         f.getDouble();
-        return () -> {
-            Build build = builds.get(number);
-            if (build != null) policy.counted(build, settings.methods.get(method), picks, failed, mean);
-        };
+        return () -> ledger.counted(number, method, picks, failed, mean);
     }
 
     private Runnable flagged(ByteBuffer f) {
         long unit = u32(f);
         f.getShort();
         Span behind = Span.ofMs(f.getDouble());
-        return () -> {
-            Unit known = units.get(unit);
-            if (known != null && known.olderThan(behind, now)) policy.flagged(known);
-        };
-    }
-
-    private void forget(Rpc rpc) {
-        if (rpc.ended && rpc.out == 0) rpcs.remove(rpc.id);
+        return () -> ledger.flagged(unit, behind, now);
     }
 
     private void guarded(Runnable call) {
@@ -301,9 +259,7 @@
 
     @Override
     public void send(Pick pick) {
-        pick.rpc.picks.add(pick);
-        pick.rpc.out++;
-        pick.unit.out++;
+        ledger.sent(pick);
         double patience = pick.patience == null ? 0 : pick.patience.ms();
         open(10).u32(pick.rpc.id).u32(pick.unit.id).f64(patience).close();
     }
@@ -316,18 +272,13 @@
     @Override
     public void pushBack(Rpc rpc, Span wait) {
         open(20).u32(rpc.id).f64(wait.ms()).close();
-        end(rpc);
+        ledger.pushedBack(rpc);
     }
 
     @Override
     public void abort(Rpc rpc) {
         open(30).u32(rpc.id).close();
-        end(rpc);
-    }
-
-    private void end(Rpc rpc) {
-        rpc.ended = true;
-        forget(rpc);
+        ledger.aborted(rpc);
     }
 
     @Override
--- a/src/main/java/sprucerock/sim/Simhost.java
+++ b/src/main/java/sprucerock/sim/Simhost.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import sprucerock.Policy;
 import sprucerock.time.Moment;
 
 /** Reads batches, hands each event to the relay that it is for, and writes one reply a batch. */
@@ -24,6 +25,7 @@
     record Entry(long unit, int zone, int kind, int cell, int build, int health,
         double weight, double since) {}
 
+    private final Relay.Maker maker;
     private final DataInputStream in;
     private final OutputStream out;
     private final Map<Long, Relay> relays = new HashMap<>();
@@ -31,6 +33,11 @@
     private final Replies replies = new Replies();
 
     public Simhost(InputStream in, OutputStream out) {
+        this(in, out, Policy::new);
+    }
+
+    Simhost(InputStream in, OutputStream out, Relay.Maker maker) {
+        this.maker = maker;
         this.in = new DataInputStream(new java.io.BufferedInputStream(in, 1 << 16));
         this.out = out;
     }
@@ -91,7 +98,7 @@
             long seed = f.getLong();
             byte[] settings = new byte[count(f, Integer.toUnsignedLong(f.getInt()), 1)];
             f.get(settings);
-            Relay relay = new Relay(id, replies);
+            Relay relay = new Relay(id, replies, maker);
             relays.put(id, relay);
             relay.start(now, seed, new String(settings, StandardCharsets.UTF_8));
             return;
--- a/src/test/java/sprucerock/FakeHost.java
+++ b/src/test/java/sprucerock/FakeHost.java
@@ -4,12 +4,16 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import sprucerock.host.Host;
+import sprucerock.ledger.Ledger;
 import sprucerock.model.Build;
 import sprucerock.model.Outcome;
 import sprucerock.model.Pick;
 import sprucerock.model.Rpc;
 import sprucerock.model.Settings;
+import sprucerock.model.Standing;
 import sprucerock.model.Unit;
+import sprucerock.model.Verdict;
+import sprucerock.sim.SettingsText;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
@@ -68,9 +72,10 @@
     final List<Integer> toldTo = new ArrayList<>();
     int subscriptions;
     final Settings settings;
+    final Ledger ledger;
     final Policy policy;
-    final Build old = new Build(1);
-    final Build fresh = new Build(2);
+    final Build old;
+    final Build fresh;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) -> {
         int byTime = a.when.compareTo(b.when);
         return byTime != 0 ? byTime : Integer.compare(a.order, b.order);
@@ -80,28 +85,30 @@
 
     /** A host whose settings differ from the usual ones as the lines say. */
     FakeHost(String... lines) {
-        settings = new Settings(SETTINGS + String.join("\n", lines));
+        settings = SettingsText.read(SETTINGS + String.join("\n", lines));
+        ledger = new Ledger(settings);
+        old = ledger.build(1);
+        fresh = ledger.build(2);
         policy = new Policy(this, settings, 42);
+        ledger.tell(policy);
     }
 
     /** Warm units of the earlier build, and news that it is the released one. */
     FakeHost with(int units) {
         for (int i = 0; i < units; i++) unit(old, null);
-        policy.newsOfBuild(old, 2, Standing.RELEASED, 1, now.minus(Span.ofMs(60_000)));
+        ledger.news(1, 2, Standing.RELEASED, 1, now.minus(Span.ofMs(60_000)));
         return this;
     }
 
     /** So many warm units of the build on trial, and news that puts it there. */
     FakeHost offering(int units, int stage, double cap) {
         for (int i = 0; i < units; i++) unit(fresh, now.minus(Span.ofMs(20_000)));
-        policy.newsOfBuild(fresh, stage, Standing.ON_TRIAL, cap, now);
+        ledger.news(2, stage, Standing.ON_TRIAL, cap, now);
         return this;
     }
 
     Unit unit(Build build, Moment started) {
-        Unit unit = new Unit(made++, 0, 0, 0, build, started, 1);
-        policy.unitReady(unit);
-        return unit;
+        return ledger.listed(made++, 0, 0, 0, build.number, started, 1, true);
     }
 
     Rpc rpc(int method) {
@@ -109,9 +116,8 @@
     }
 
     Rpc rpc(int method, long key, double leftMs) {
-        Rpc rpc = new Rpc(made++, settings.methods.get(method), 0, key, now, now.plus(Span.ofMs(leftMs)), null);
-        policy.rpcArrived(rpc);
-        return rpc;
+        return ledger.arrived(made++, settings.methods.get(method), 0, key, now, now.plus(Span.ofMs(leftMs)), null,
+            null);
     }
 
     /** The first idempotent RPC of the key that gets a copy; those before it are answered ok. */
@@ -126,19 +132,14 @@
     }
 
     void end(Pick pick, Outcome outcome) {
-        pick.outcome = outcome;
-        pick.took = now.since(pick.sent);
-        pick.unit.out--;
-        pick.rpc.out--;
-        boolean answers = outcome == Outcome.OK && !pick.rpc.ended;
-        pick.rpc.ended |= answers;
-        policy.pickEnded(pick, answers);
+        boolean closes = outcome == Outcome.OK || pick.rpc.ended();
+        ledger.pickEnded(pick, outcome, now.since(pick.sent), closes);
     }
 
     /** Ends all picks that are out, those at the fresh build with one outcome, the others with another. */
     void endAll(Outcome atFresh, Outcome atOld) {
         for (Pick pick : List.copyOf(sent)) {
-            if (pick.outcome == null) end(pick, pick.unit.build == fresh ? atFresh : atOld);
+            if (pick.outcome() == null) end(pick, pick.unit.build == fresh ? atFresh : atOld);
         }
     }
 
@@ -173,9 +174,7 @@
 
     @Override
     public void send(Pick pick) {
-        pick.rpc.picks.add(pick);
-        pick.rpc.out++;
-        pick.unit.out++;
+        ledger.sent(pick);
         sent.add(pick);
     }
 
@@ -186,13 +185,13 @@
 
     @Override
     public void pushBack(Rpc rpc, Span wait) {
-        rpc.ended = true;
+        ledger.pushedBack(rpc);
         pushedBack.add(rpc);
     }
 
     @Override
     public void abort(Rpc rpc) {
-        rpc.ended = true;
+        ledger.aborted(rpc);
         aborted.add(rpc);
     }
 
--- a/src/test/java/sprucerock/PolicyTest.java
+++ b/src/test/java/sprucerock/PolicyTest.java
@@ -7,14 +7,14 @@
 import static org.testng.Assert.assertTrue;
 
 import org.testng.annotations.Test;
-import sprucerock.host.Host.Reply;
-import sprucerock.host.Host.Standing;
-import sprucerock.host.Host.Verdict;
-import sprucerock.model.Board;
+import sprucerock.evidence.Board;
 import sprucerock.model.Outcome;
 import sprucerock.model.Pick;
+import sprucerock.model.Reply;
 import sprucerock.model.Rpc;
+import sprucerock.model.Standing;
 import sprucerock.model.Unit;
+import sprucerock.model.Verdict;
 import sprucerock.stats.Ks;
 import sprucerock.time.Span;
 
@@ -57,7 +57,7 @@
         assertEquals(host.sent.size(), 2);
         host.pass(1999);
         int sent = host.sent.size();
-        for (Pick pick : host.sent) if (pick.outcome == null) host.end(pick, Outcome.ERROR);
+        for (Pick pick : host.sent) if (pick.outcome() == null) host.end(pick, Outcome.ERROR);
         assertEquals(host.sent.size(), sent);
         assertEquals(host.pushedBack.size(), 1);
     }
@@ -65,8 +65,7 @@
     @Test
     public void tokenedStaysInItsGroupOnceItMayHaveRun() {
         FakeHost host = new FakeHost("classes.1.group=zone").with(1);
-        Unit far = new Unit(90, 1, 0, 0, host.old, null, 1);
-        host.policy.unitReady(far);
+        Unit far = host.ledger.listed(90, 1, 0, 0, 1, null, 1, true);
         Rpc order = host.rpc(1);
         host.end(order.picks.get(0), Outcome.ERROR);
         assertEquals(order.picks.size(), 1);
@@ -79,7 +78,7 @@
         for (int i = 0; i < 20; i++) {
             Rpc rpc = host.rpc(i % 3);
             host.pass(60);
-            assertTrue(rpc.out <= 1);
+            assertTrue(rpc.out() <= 1);
             host.endAll(Outcome.OK, Outcome.OK);
         }
         Rpc slow = host.rpc(0);
@@ -91,7 +90,7 @@
     public void drainingUnitGetsNothingNew() {
         FakeHost host = new FakeHost().with(2);
         Unit left = host.old.units.get(0);
-        host.policy.unitLeaving(left);
+        host.ledger.removed(left.id);
         for (int i = 0; i < 20; i++) host.rpc(0);
         assertTrue(host.sent.stream().noneMatch(pick -> pick.unit == left));
     }
@@ -121,7 +120,7 @@
         host.unit(host.fresh, host.now().minus(Span.ofMs(9000)));
         host.traffic(10, 50);
         assertEquals(host.sentTo(host.fresh), 0);
-        host.policy.newsOfBuild(host.fresh, 0, Standing.GOING_BACK, 0, host.now());
+        host.ledger.news(2, 0, Standing.GOING_BACK, 0, host.now());
         host.traffic(10, 50);
         assertEquals(host.sentTo(host.fresh), 0);
     }
@@ -147,7 +146,7 @@
         assertSame(rpc.picks.get(0).unit.build, host.old);
         assertSame(rpc.picks.get(1).unit.build, host.fresh);
         host.end(rpc.picks.get(1), Outcome.OK);
-        assertTrue(rpc.ended);
+        assertTrue(rpc.ended());
         assertTrue(host.cancelled.isEmpty());
     }
 
@@ -167,7 +166,7 @@
         Rpc second = host.rpc(2, 7, 4000);
         for (Pick pick : second.picks) assertSame(pick.unit.build, host.fresh);
         assertEquals(host.pushedBack.size() - pushed + second.picks.size(), 1);
-        host.policy.newsOfBuild(host.fresh, 1, Standing.GOING_BACK, 0, host.now());
+        host.ledger.news(2, 1, Standing.GOING_BACK, 0, host.now());
         Rpc third = host.rpc(2, 7, 4000);
         assertSame(third.picks.get(0).unit.build, host.old);
     }
@@ -175,12 +174,12 @@
     @Test
     public void earlierUnitsThatComeBackBeforeTheNewsGetNoKey() {
         FakeHost host = new FakeHost(ONE_WAY).with(2).offering(4, 2, 1.0);
-        host.policy.newsOfBuild(host.fresh, 2, Standing.RELEASED, 1, host.now());
-        for (Unit unit : java.util.List.copyOf(host.old.units)) host.policy.unitLeaving(unit);
+        host.ledger.news(2, 2, Standing.RELEASED, 1, host.now());
+        for (Unit unit : java.util.List.copyOf(host.old.units)) host.ledger.removed(unit.id);
         host.rpc(0, 7, 4000);
         host.pass(50);
         host.endAll(Outcome.OK, Outcome.OK);
-        for (Unit unit : java.util.List.copyOf(host.fresh.units)) host.policy.unitLeaving(unit);
+        for (Unit unit : java.util.List.copyOf(host.fresh.units)) host.ledger.removed(unit.id);
         host.unit(host.old, host.now().minus(Span.ofMs(9000)));
         host.rpc(0, 7, 4000);
         assertEquals(host.sentTo(host.old), 0);
@@ -255,7 +254,7 @@
     @Test
     public void quietRelayVotesOnAtTheFallbackAge() {
         FakeHost host = new FakeHost("specifics.vote_mode=majority").with(2);
-        host.policy.newsOfBuild(host.fresh, 0, Standing.ON_TRIAL, 0.1, host.now());
+        host.ledger.news(2, 0, Standing.ON_TRIAL, 0.1, host.now());
         host.pass(1000);
         host.unit(host.fresh, host.now());
         host.pass(2900);
@@ -282,7 +281,7 @@
             host.rpc(0);
             host.pass(30);
             for (Pick pick : java.util.List.copyOf(host.sent)) {
-                if (pick.outcome == null) host.end(pick, pick.unit == bad ? Outcome.ERROR : Outcome.OK);
+                if (pick.outcome() == null) host.end(pick, pick.unit == bad ? Outcome.ERROR : Outcome.OK);
             }
         }
         long atBad = host.sent.stream().skip(30).filter(pick -> pick.unit == bad).count();
@@ -316,8 +315,8 @@
     @Test
     public void releasedBuildIsWatchedForAFixedTimeOnly() {
         FakeHost host = new FakeHost().with(6).offering(6, 2, 1.0);
-        host.policy.newsOfBuild(host.fresh, 2, Standing.RELEASED, 1, host.now());
-        for (Unit unit : java.util.List.copyOf(host.old.units)) host.policy.unitLeaving(unit);
+        host.ledger.news(2, 2, Standing.RELEASED, 1, host.now());
+        for (Unit unit : java.util.List.copyOf(host.old.units)) host.ledger.removed(unit.id);
         host.pass(16_000);
         for (int i = 0; i < 40; i++) {
             host.rpc(2);
@@ -330,8 +329,8 @@
     @Test
     public void releasedBuildThatFailsEverywhereGoesBack() {
         FakeHost host = new FakeHost().with(6).offering(6, 2, 1.0);
-        host.policy.newsOfBuild(host.fresh, 2, Standing.RELEASED, 1, host.now());
-        for (Unit unit : java.util.List.copyOf(host.old.units)) host.policy.unitLeaving(unit);
+        host.ledger.news(2, 2, Standing.RELEASED, 1, host.now());
+        for (Unit unit : java.util.List.copyOf(host.old.units)) host.ledger.removed(unit.id);
         for (int i = 0; i < 40; i++) {
             host.rpc(2);
             host.pass(50);
@@ -392,8 +391,7 @@
     @Test
     public void unitsBehindASlowLinkComeLast() {
         FakeHost host = new FakeHost().with(3);
-        Unit far = new Unit(90, 1, 0, 0, host.old, null, 1);
-        host.policy.unitReady(far);
+        Unit far = host.ledger.listed(90, 1, 0, 0, 1, null, 1, true);
         for (int i = 0; i < 60; i++) {
             Pick pick = host.rpc(0).picks.get(0);
             host.pass(pick.unit == far ? 600 : 50);
@@ -406,7 +404,7 @@
     public void leadsOfSeveralStagesAddUp() {
         FakeHost host = new FakeHost().with(4).offering(3, 0, 0.1);
         for (int stage = 0; stage < 3; stage++) {
-            host.policy.newsOfBuild(host.fresh, stage, Standing.ON_TRIAL, 0.4, host.now());
+            host.ledger.news(2, stage, Standing.ON_TRIAL, 0.4, host.now());
             assertFalse(host.votes.contains(Verdict.BACK));
             host.policy.peerTold(1, new byte[] {3, 2, (byte) stage, 19, 2, 0, 6, 0});
         }
