--- /dev/null
+++ b/src/main/antlr4/sprucerock/rehearsal/Day.g4
@@ -0,0 +1,87 @@
+// The language of day scripts; docs/operators/rehearsal.md tells what each line does.
+grammar Day;
+
+day: 'day' STRING line* EOF;
+
+line
+  : 'seed' INT                                                                              # seed
+  | 'lasts' SPAN                                                                            # lasts
+  | 'relays' INT                                                                            # relays
+  | 'tick' SPAN                                                                             # tick
+  | 'units' INT ('zone' zone=INT)? ('cores' cores=INT)? ('speed' speed=number)?             # units
+  | 'method' NAME effect 'share' share=PERCENT 'work' work=SPAN 'soft' soft=SPAN
+      'deadline' deadline=SPAN 'utility' utility=number                                     # method
+  | 'customer' NAME PERCENT                                                                 # customer
+  | 'stage' share=PERCENT 'cap' cap=PERCENT                                                 # stage
+  | 'votes' control 'life' life=SPAN 'answer' answer=SPAN 'bake' bake=SPAN
+      ('step' step=SPAN)? ('on' on=INT)? ('hold' hold=INT)? ('back' back=INT)?              # votes
+  | 'counts' 'every' SPAN 'sample' PERCENT                                                  # counts
+  | 'cold' 'from' PERCENT 'for' lasts=SPAN 'tip' number 'after' after=SPAN                  # cold
+  | 'exposure' 'free' number 'over' SPAN ('by' byMethod='method')? ('guarded' INT)?
+      (oneWay='one-way')?                                                                   # exposure
+  | 'drain-grace' SPAN                                                                      # drainGrace
+  | 'roster' 'notice' SPAN ask='ask'?                                                       # rosterNotice
+  | 'allow' allowed+                                                                        # allow
+  | 'traffic' number '/s' ('busiest' times=number)?                                         # traffic
+  | 'clients' INT 'retries' retries=INT 'after' SPAN ('impatient' PERCENT)?                 # clients
+  | 'at' SPAN trouble                                                                       # at
+  ;
+
+effect: 'idempotent' | 'tokened' SPAN | 'non-idempotent';
+control: 'single' | 'majority' | 'clocked';
+allowed: 'picks' INT | 'second-copies' | 'cancel' | 'peers' | 'retry-after' SPAN;
+
+trouble
+  : 'offer' ('good' | 'bad' fault)                                                          # offer
+  | 'unit' INT fate                                                                         # unitFate
+  | 'unit' INT ill 'for' SPAN                                                               # unitIll
+  | 'units' PERCENT ill 'for' SPAN                                                          # unitsIll
+  | 'relay' INT ('killed' | 'stopped') 'for' SPAN                                           # relayDown
+  | 'relay' INT 'stalls' 'for' SPAN                                                         # relayStalls
+  | 'relay' INT 'busy' 'times' number 'for' SPAN                                            # relayBusy
+  | 'traffic' 'times' number 'for' SPAN                                                     # burst
+  | 'customer' NAME 'times' number 'for' SPAN                                               # customerBurst
+  | 'everything' 'slow' 'times' number 'for' SPAN                                           # everythingSlow
+  | 'method' NAME 'slow' 'times' number 'for' SPAN                                          # methodSlow
+  | 'messages' ('lost' PERCENT | 'late' late=SPAN) 'for' length=SPAN                        # messages
+  | 'roster' ('late' late=SPAN | 'down') 'for' length=SPAN                                  # rosterIll
+  | 'desk' ('late' late=SPAN | 'down') 'for' length=SPAN                                    # deskIll
+  | 'counts' 'late' late=SPAN 'for' length=SPAN                                             # countsLate
+  | 'zone' INT 'link' late=SPAN 'for' length=SPAN                                           # zoneLink
+  | 'clients' 'rude' 'for' SPAN                                                             # rude
+  ;
+
+fault
+  : 'errors' PERCENT
+  | 'method' NAME PERCENT
+  | 'slow' 'times' number
+  | 'under' 'load' PERCENT
+  | 'late' 'after' SPAN
+  | 'wrong' PERCENT
+  | 'slows' 'all' 'times' number
+  ;
+
+fate: 'drains' | 'restarts' 'within' SPAN | 'dies';
+
+ill
+  : 'hangs'
+  | 'fails' PERCENT
+  | 'slow' 'times' number
+  | 'loses' 'answers'
+  | 'talks' 'rubbish'
+  | 'neighbour' PERCENT
+  | 'pauses' pause=SPAN 'every' every=SPAN
+  | 'takes' INT 'connections'
+  ;
+
+number: INT | DECIMAL;
+
+SPAN: [0-9]+ ('.' [0-9]+)? ('us' | 'ms' | 's' | 'min');
+PERCENT: [0-9]+ ('.' [0-9]+)? '%';
+INT: [0-9]+;
+DECIMAL: [0-9]+ '.' [0-9]+;
+STRING: '"' ~["\r\n]* '"';
+NAME: [a-zA-Z] [a-zA-Z0-9_-]*;
+COMMENT: '#' ~[\r\n]* -> skip;
+SPACE: [ \t\r\n]+ -> skip;
+OTHER: .;
--- a/src/main/java/sprucerock/Main.java
+++ b/src/main/java/sprucerock/Main.java
@@ -1,31 +1,25 @@
 package sprucerock;
 
 import java.io.IOException;
+import sprucerock.cli.Commands;
 import sprucerock.sim.FrameException;
 import sprucerock.sim.Simhost;
 
-/** The command line. */
+/** Starts what the command line names. */
 public final class Main {
-    private static final String USAGE = "usage: java -jar sprucerock.jar simhost\n"
-        + "  simhost   decide for the relays of a simulated fleet, over standard input and output\n"
-        + "  --help    print this text";
-
     private Main() {}
 
     public static void main(String[] args) throws IOException {
-        String command = args.length == 1 ? args[0] : "";
-        if (command.equals("--help")) {
-            System.out.println(USAGE);
-        } else if (command.equals("simhost")) {
-            try {
-                new Simhost(System.in, System.out).run();
-            } catch (FrameException e) {
-                System.err.println(e.getMessage());
-                System.exit(1);
-            }
-        } else {
-            System.err.println(USAGE);
-            System.exit(2);
+        if (args.length == 1 && args[0].equals("simhost")) simhost(); // apart, as the bench pays for each start
+        else System.exit(Commands.run(args));
+    }
+
+    private static void simhost() throws IOException {
+        try {
+            new Simhost(System.in, System.out).run();
+        } catch (FrameException e) {
+            System.err.println(e.getMessage());
+            System.exit(Commands.WANTING);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/sprucerock/cli/CheckConfigCommand.java
@@ -0,0 +1,21 @@
+package sprucerock.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+import sprucerock.config.RelayConfig;
+
+@Command(name = "check-config", mixinStandardHelpOptions = true, description = "Checks a relay's configuration.")
+final class CheckConfigCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "such as relay.xml")
+    private Path file;
+
+    @Override
+    public Integer call() throws Exception {
+        RelayConfig config = RelayConfig.read(file);
+        System.out.println(file + ": relay " + config.name + ", number " + config.settings.index + " of " + config.settings.relays
+            + ", " + config.settings.methods.size() + " methods, " + config.peers.size() + " peers: in order");
+        return Commands.DONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/cli/RelayCommand.java
@@ -0,0 +1,79 @@
+package sprucerock.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import sprucerock.Policy;
+import sprucerock.config.ConfigException;
+import sprucerock.config.RelayConfig;
+import sprucerock.net.nio.NioLoop;
+import sprucerock.relay.Relay;
+import sprucerock.trace.TraceWriter;
+import sprucerock.wire.Tap;
+
+@Command(name = "relay", mixinStandardHelpOptions = true,
+    description = "Runs a relay until it is told to end (SIGTERM or SIGINT): then every open RPC gets its answer first.")
+final class RelayCommand implements Callable<Integer> {
+    @Option(names = "--config", required = true, paramLabel = "FILE", description = "its configuration, see docs/operators/relay.md")
+    private Path file;
+
+    @Option(names = "--trace", paramLabel = "FILE", description = "writes a line for every frame into a new file; costs time")
+    private Path trace;
+
+    @Option(names = "--log", paramLabel = "FORM", defaultValue = "plain", description = "plain or json")
+    private String form;
+
+    @Override
+    public Integer call() throws Exception {
+        if (!form.equals("plain") && !form.equals("json")) throw new ConfigException("--log is plain or json, not " + form);
+        RelayConfig config = RelayConfig.read(file);
+        Logs.to(form.equals("json") ? Logs.Form.JSON : Logs.Form.PLAIN);
+        AtomicReference<Relay> relay = new AtomicReference<>();
+        CountDownLatch ended = new CountDownLatch(1);
+        CountDownLatch started = new CountDownLatch(1);
+        AtomicReference<IOException> wrong = new AtomicReference<>();
+        NioLoop loop = new NioLoop("relay-" + config.settings.index, e -> {
+            if (relay.get() != null) relay.get().broken(e);
+            else e.printStackTrace(System.err);
+        });
+        AtomicReference<TraceWriter> tracing = new AtomicReference<>();
+        loop.post(() -> {
+            try {
+                if (trace != null) {
+                    tracing.set(new TraceWriter(loop, trace, "relay-" + config.settings.index));
+                    tracing.get().watchStalls();
+                }
+                relay.set(new Relay(config, loop, trace == null ? Tap.NONE : tracing.get()));
+                relay.get().start(Policy::new);
+            } catch (IOException e) {
+                wrong.set(e);
+            } finally {
+                started.countDown();
+            }
+        });
+        started.await();
+        if (wrong.get() != null) {
+            throw new IOException(config.listen + " can't be listened at, or the trace can't be written: " + wrong.get().getMessage());
+        }
+        Thread stopper = new Thread(() -> {
+            loop.post(() -> relay.get().finish(() -> {
+                if (tracing.get() != null) tracing.get().note("END", "in good order");
+                loop.atTurnsEnd(ended::countDown);
+            }));
+            try {
+                ended.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            Runtime.getRuntime().halt(Commands.DONE); // the signal's own code would say that it failed
+        }, "stopper");
+        Runtime.getRuntime().addShutdownHook(stopper);
+        ended.await();
+        Thread.sleep(10_000); // the stopper halts the process
+        return Commands.DONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/config/RelayConfig.java
@@ -0,0 +1,172 @@
+package sprucerock.config;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Collections;
+import java.util.Map;
+import java.util.TreeMap;
+import sprucerock.model.Method;
+import sprucerock.model.Settings;
+import sprucerock.time.Span;
+import sprucerock.wire.Limits;
+
+/** The configuration of one relay, checked; the schema relay.xsd names the units and the values used where one is left out. */
+public final class RelayConfig {
+    public final String name;
+    public final long seed;
+    public final InetSocketAddress listen;
+    public final InetSocketAddress roster;
+    public final InetSocketAddress desk;
+    /** Where the other relays are, by their numbers. */
+    public final Map<Integer, InetSocketAddress> peers;
+    /** RPCs open at a time, in all and from one connection. */
+    public final int open;
+    public final int openPerClient;
+    /** Connections that are taken at a time. */
+    public final int clients;
+    public final int units;
+    public final Limits link;
+    /** Bytes that may wait for a peer; a message that would come on top is dropped. */
+    public final long peerUnsent;
+    /** How long open RPCs may take to end once the relay is told to. */
+    public final Span finishWithin;
+    public final Span connectWithin;
+    public final int connectionsPerUnit;
+    public final int picksEach;
+    public final int waitingPerUnit;
+    public final Span idle;
+    public final Span pauseFirst;
+    public final Span pauseMost;
+    public final Settings settings;
+
+    /** Reads and checks a file; the first thing that is wrong ends it. */
+    public static RelayConfig read(Path file) throws ConfigException {
+        return new RelayConfig(Node.read(file, "/sprucerock/relay.xsd"));
+    }
+
+    private RelayConfig(Node root) throws ConfigException {
+        name = root.text("name");
+        seed = root.big("seed");
+        listen = address(root.child("listen"));
+        roster = address(root.child("roster"));
+        desk = address(root.child("desk"));
+        Node limits = root.child("limits");
+        open = limits.count("open");
+        openPerClient = limits.count("open-per-client");
+        clients = limits.count("clients");
+        units = limits.count("units");
+        if (limits.bytes("frame") < 1024 || limits.bytes("frame") > 1 << 30) {
+            throw limits.wrong("frame may be 1KiB to 1024MiB, not " + limits.text("frame"));
+        }
+        link = new Limits((int) limits.bytes("frame"), limits.bytes("unsent"), limits.span("beat"));
+        if (link.unsent() < link.frame()) throw limits.wrong("unsent must hold one frame, " + limits.text("frame"));
+        atLeast(limits, "beat", Span.ofMs(10));
+        peerUnsent = limits.bytes("peer-unsent");
+        finishWithin = limits.span("finish-within");
+        Node connections = root.child("connections");
+        connectWithin = connections.span("connect-within");
+        connectionsPerUnit = connections.count("per-unit");
+        picksEach = connections.count("picks-each");
+        waitingPerUnit = connections.count("waiting-per-unit");
+        idle = connections.span("idle");
+        pauseFirst = connections.span("pause-first");
+        pauseMost = connections.span("pause-most");
+        atLeast(connections, "idle", Span.ofMs(10));
+        atLeast(connections, "pause-first", Span.ofMs(1));
+        atLeast(connections, "pause-most", pauseFirst);
+        Node site = root.child("site");
+        int number = root.count("number");
+        settings = new Settings(draft(site, number));
+        if (number >= settings.relays) {
+            throw root.wrong("number " + number + " of " + settings.relays + " relays: 0 to " + (settings.relays - 1));
+        }
+        TreeMap<Integer, InetSocketAddress> found = new TreeMap<>();
+        for (Node peer : root.all("peer")) {
+            int other = peer.count("number");
+            if (other == number || other >= settings.relays) {
+                throw peer.wrong("number " + other + ": allowed are 0 to " + (settings.relays - 1) + " but for the own, " + number);
+            }
+            if (found.put(other, address(peer)) != null) throw peer.wrong("number " + other + " is named twice");
+        }
+        peers = Collections.unmodifiableMap(found);
+    }
+
+    private static void atLeast(Node node, String key, Span least) throws ConfigException {
+        if (least.over(node.span(key))) throw node.wrong(key + " may be " + least.ms() + "ms at least, not " + node.text(key));
+    }
+
+    private static void atMost(Node node, String child, int most) throws ConfigException {
+        int count = node.all(child).size();
+        if (count > most) throw node.wrong(count + " of " + child + ", allowed are " + most);
+    }
+
+    private static InetSocketAddress address(Node node) throws ConfigException {
+        InetSocketAddress address = Address.of(node.text("host"), node.count("port"));
+        if (address == null) throw node.wrong("host \"" + node.text("host") + "\" is no IPv4 or IPv6 address in numbers");
+        return address;
+    }
+
+    private static Settings.Draft draft(Node site, int number) throws ConfigException {
+        Settings.Draft draft = new Settings.Draft();
+        atMost(site, "method", 256);
+        atMost(site, "customer", 10_000);
+        atMost(site, "stage", 100);
+        for (Node method : site.all("method")) draft.methods.add(method(method, draft.methods.size()));
+        for (Node customer : site.all("customer")) draft.customerShares.add(customer.number("share"));
+        for (Node stage : site.all("stage")) draft.caps.add(stage.number("cap"));
+        draft.zone = site.count("zone");
+        if (site.has("over-share-worth")) draft.overShareWorth = site.number("over-share-worth");
+        draft.tick = site.span("tick");
+        atLeast(site, "tick", Span.ofMs(0.1));
+        draft.ask = site.flag("ask");
+        draft.askWithin = site.span("ask-within");
+        Node rules = site.child("rules");
+        draft.cold = rules.span("cold");
+        draft.startShare = rules.number("start-capacity");
+        draft.tipAfter = rules.span("tip-after");
+        draft.tipMultiple = rules.number("tip-multiple");
+        draft.perMethod = rules.flag("cap-by-method");
+        draft.free = rules.number("free-picks");
+        if (!(draft.free >= 0) || !(draft.tipMultiple > 0)) throw rules.wrong("free-picks: 0 or more; tip-multiple: above 0");
+        if (rules.has("guarded-stages")) draft.guardedStages = rules.count("guarded-stages");
+        if (rules.has("one-way-keys")) draft.oneWayKeys = rules.flag("one-way-keys");
+        Node allowed = site.child("allowed");
+        draft.maxPicks = allowed.count("picks");
+        draft.secondCopies = allowed.flag("second-copies");
+        draft.cancel = allowed.flag("cancel");
+        draft.peers = allowed.flag("peers");
+        draft.retryAfter = allowed.flag("retry-after");
+        draft.maxRetryAfter = allowed.span("most-retry-after");
+        Node votes = site.child("votes");
+        draft.control = Settings.Control.valueOf(votes.text("control").toUpperCase(java.util.Locale.ROOT));
+        draft.voteLife = votes.span("life");
+        draft.callTimeout = votes.span("answer-within");
+        if (votes.has("counts-every")) draft.countsEvery = votes.span("counts-every");
+        draft.index = number;
+        draft.relays = site.count("relays");
+        return draft;
+    }
+
+    private static Method method(Node node, int index) throws ConfigException {
+        Method.Effect effect = switch (node.text("effect")) {
+            case "idempotent" -> Method.Effect.IDEMPOTENT;
+            case "tokened" -> Method.Effect.TOKENED;
+            default -> Method.Effect.NON_IDEMPOTENT;
+        };
+        boolean tokened = effect == Method.Effect.TOKENED;
+        if (tokened != node.has("window") || !tokened && node.has("group")) {
+            throw node.wrong("window is for tokened methods, which need it; group for them alone");
+        }
+        Span soft = node.span("soft-deadline");
+        if (soft.over(node.span("deadline"))) throw node.wrong("soft-deadline is at most the deadline, " + node.text("deadline"));
+        atLeast(node, "soft-deadline", Span.ofMs(1));
+        if (!(node.number("utility") > 0)) throw node.wrong("utility is above 0, not " + node.text("utility"));
+        Method.Group group = !node.has("group") ? Method.Group.ALL : switch (node.text("group")) {
+            case "zone" -> Method.Group.ZONE;
+            case "cell" -> Method.Group.CELL;
+            default -> Method.Group.ALL;
+        };
+        return new Method(index, effect, group, soft, tokened ? node.span("window") : Span.ZERO,
+            node.number("utility"), false);
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/judge/Finding.java
@@ -0,0 +1,17 @@
+package sprucerock.judge;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import sprucerock.trace.Line;
+
+/** A rule that was broken: which (1 to 5), how, and the frames that show it. */
+public record Finding(int rule, String what, List<Line> frames) {
+    private static final String[] NAMES = {"", "no RPC is lost", "no effect happens twice", "drains are kept",
+        "a cold unit is not pushed over", "exposure stays within the cap"};
+
+    @Override
+    public String toString() {
+        return "rule " + rule + ", " + NAMES[rule] + ": " + what + " ["
+            + frames.stream().map(Line::where).collect(Collectors.joining(", ")) + "]";
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/rehearsal/Play.java
@@ -0,0 +1,490 @@
+package sprucerock.rehearsal;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import sprucerock.net.nio.NioLoop;
+import sprucerock.standin.BuildFault;
+import sprucerock.standin.ClientStandIn;
+import sprucerock.standin.DeskStandIn;
+import sprucerock.standin.RosterStandIn;
+import sprucerock.standin.Shared;
+import sprucerock.standin.Site;
+import sprucerock.standin.SwitchStandIn;
+import sprucerock.standin.UnitStandIn;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+import sprucerock.trace.TraceWriter;
+import sprucerock.wire.Limits;
+import sprucerock.wire.v1.Entry;
+import sprucerock.wire.v1.Health;
+
+/**
+ * Plays a day: relays as processes of their own, everything else as stand-ins on one loop in this process, over loopback
+ * sockets. All methods but {@link #run} are called on that loop.
+ */
+public final class Play implements DeskStandIn.Places {
+    /** Something that ails a unit, put on and taken off. */
+    interface Ill {
+        void set(UnitStandIn unit, boolean on, Play play);
+    }
+
+    /** What a build was, for the report. */
+    record Offered(int build, Span at, String words) {}
+
+    /** Something that happened to a build. */
+    record Step(Span at, String what) {}
+
+    private static final Span BOOT = Span.ofMs(800);
+    private static final Span SETTLE = Span.ofMs(1000); // relays have linked up and have the list
+    private static final int START_SECONDS = 30;
+    private static final int FIRST_BUILD = 1;
+
+    private final Script day;
+    private final Site site;
+    private final Path folder;
+    private final PrintStream out;
+    private final NioLoop loop;
+    private final Limits limits = new Limits(1 << 20, 4 << 20, Span.ofMs(2000));
+    private final SplittableRandom chance;
+    private final Shared shared = new Shared();
+    private final Map<Integer, UnitStandIn> units = new TreeMap<>();
+    private final List<Integer> firstUnits = new ArrayList<>();
+    private final Map<UnitStandIn, Integer> spells = new HashMap<>();
+    private final List<RelayProcess> relays = new ArrayList<>();
+    private final List<List<ClientStandIn>> clients = new ArrayList<>();
+    private final Map<Integer, BuildFault> faults = new HashMap<>();
+    private final Map<Ill, List<UnitStandIn>> illOnes = new HashMap<>();
+    private final Set<Integer> wanted = new HashSet<>();
+    final List<Offered> offered = new ArrayList<>();
+    final List<Step> steps = new ArrayList<>();
+    final Books books;
+    private TraceWriter trace;
+    private RosterStandIn roster;
+    private DeskStandIn desk;
+    private SwitchStandIn between;
+    private int lastBuild = FIRST_BUILD;
+    private int lastUnit;
+    private Moment begun;
+    private int fallen;
+
+    public Play(Script day, Path folder, PrintStream out) throws IOException {
+        this.day = day;
+        this.folder = folder;
+        this.out = out;
+        site = day.site();
+        books = new Books(site);
+        chance = new SplittableRandom(day.seed);
+        loop = new NioLoop("stand-ins", e -> e.printStackTrace(System.err));
+    }
+
+    Script day() {
+        return day;
+    }
+
+    DeskStandIn desk() {
+        return desk;
+    }
+
+    RosterStandIn roster() {
+        return roster;
+    }
+
+    SwitchStandIn between() {
+        return between;
+    }
+
+    Shared shared() {
+        return shared;
+    }
+
+    List<RelayProcess> relays() {
+        return relays;
+    }
+
+    int fallen() {
+        return fallen;
+    }
+
+    /** Plays the whole day and leaves traces and logs in the folder. On the caller's thread. */
+    public void run() throws IOException, InterruptedException {
+        try {
+            onLoop(this::set);
+            for (RelayProcess relay : relays) relay.start();
+            awaitRelays();
+            onLoop(this::begin);
+            int seconds = (int) Math.ceil(day.lasts.ms() / 1000);
+            for (int i = 1; i <= seconds; i++) {
+                Thread.sleep(1000);
+                int at = i;
+                onLoop(() -> progress(at));
+            }
+            onLoop(() -> clients.forEach(some -> some.forEach(ClientStandIn::stop)));
+            awaitAnswers();
+            for (RelayProcess relay : relays) if (relay.alive()) relay.stop();
+            for (RelayProcess relay : relays) if (relay.end(20) != 0) relay.endedBadly();
+            Thread.sleep(100);
+        } finally {
+            for (RelayProcess relay : relays) if (relay.alive()) relay.kill();
+            loop.close();
+        }
+    }
+
+    private interface Step0 {
+        void run() throws IOException;
+    }
+
+    private void onLoop(Step0 what) throws InterruptedException, IOException {
+        CountDownLatch done = new CountDownLatch(1);
+        Throwable[] wrong = new Throwable[1];
+        loop.post(() -> {
+            try {
+                what.run();
+            } catch (IOException | RuntimeException e) {
+                wrong[0] = e;
+            } finally {
+                done.countDown();
+            }
+        });
+        done.await();
+        if (wrong[0] instanceof IOException e) throw e;
+        if (wrong[0] instanceof RuntimeException e) throw e;
+    }
+
+    private void set() throws IOException {
+        trace = new TraceWriter(loop, folder.resolve("standins.trace"), "rehearsal");
+        trace.watchStalls();
+        trace.note("DAY", day.name + ", seed " + day.seed);
+        roster = new RosterStandIn(loop, new TraceWriter(trace, "roster"), limits, day.notice);
+        int rosterPort = roster.start();
+        desk = new DeskStandIn(loop, new TraceWriter(trace, "desk"), limits, site, this, FIRST_BUILD, chance.nextLong());
+        int deskPort = desk.start();
+        between = new SwitchStandIn(loop, new TraceWriter(trace, "switch"), limits, chance.nextLong());
+        faults.put(FIRST_BUILD, BuildFault.GOOD);
+        for (Script.Units some : day.units) {
+            for (int i = 0; i < some.count(); i++) {
+                UnitStandIn unit = unit(FIRST_BUILD, some.zone(), some.cores(), some.speed());
+                firstUnits.add(unit.id);
+                unit.start(false);
+                list(unit, Health.READY);
+            }
+        }
+        Map<Integer, Integer> ports = new TreeMap<>();
+        Map<Integer, Integer> ways = new TreeMap<>();
+        for (int i = 0; i < day.relays; i++) {
+            int port = freePort();
+            ports.put(i, port);
+            ways.put(i, between.port(i, new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
+        }
+        double weights = day.busiest + day.relays - 1;
+        for (int i = 0; i < day.relays; i++) {
+            Map<Integer, Integer> others = new TreeMap<>(ways);
+            others.remove(i);
+            RelayXml.write(folder.resolve("relay-" + i + ".xml"), day, i, ports.get(i), rosterPort, deskPort,
+                day.peers ? others : Map.of());
+            relays.add(new RelayProcess(i, folder));
+            List<ClientStandIn> own = new ArrayList<>();
+            double perSecond = day.perSecond * (i == 0 ? day.busiest : 1) / weights / day.clientsEach;
+            for (int j = 0; j < day.clientsEach; j++) {
+                int number = i * day.clientsEach + j;
+                own.add(new ClientStandIn(loop, new TraceWriter(trace, "client-" + number), limits, site, day.manners, books,
+                    number, new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(i)), perSecond, chance.nextLong()));
+            }
+            clients.add(own);
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return probe.getLocalPort();
+        }
+    }
+
+    /** Until every relay listens; a relay that ends instead has said why in its log. */
+    private void awaitRelays() throws IOException, InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_SECONDS);
+        for (int i = 0; i < relays.size(); i++) {
+            while (!listens(i)) {
+                if (!relays.get(i).alive() || System.nanoTime() > until) {
+                    throw new IOException("relay " + i + " did not start; see " + folder.resolve("relay-" + i + ".log"));
+                }
+                Thread.sleep(20);
+            }
+        }
+        Thread.sleep((long) SETTLE.ms());
+    }
+
+    private boolean listens(int relay) throws IOException {
+        Path log = folder.resolve("relay-" + relay + ".log");
+        return java.nio.file.Files.exists(log) && java.nio.file.Files.readString(log).contains(" listens at ");
+    }
+
+    private void begin() {
+        begun = loop.now();
+        books.begin(begun);
+        for (Script.Trouble trouble : day.troubles) {
+            Moment at = begun.plus(trouble.at());
+            loop.at(at, () -> {
+                trace.note("TROUBLE", trouble.words());
+                trouble.what().begin(this);
+            });
+            if (trouble.lasts().over(Span.ZERO)) loop.at(at.plus(trouble.lasts()), () -> {
+                trace.note("OVER", trouble.words());
+                trouble.what().end(this);
+            });
+        }
+        for (List<ClientStandIn> own : clients) for (ClientStandIn client : own) client.start();
+        out.println("plays \"" + day.name + "\": " + day.relays + " relays, " + firstUnits.size() + " units, "
+            + Math.round(day.perSecond) + " RPCs a second, " + day.lasts.ms() / 1000 + " s, seed " + day.seed);
+    }
+
+    private Span time() {
+        return loop.now().since(begun);
+    }
+
+    private void progress(int second) {
+        double[] lately = books.between(Span.ofMs(1000.0 * Math.max(0, second - 6)), Span.ofMs(1000.0 * Math.max(0, second - 1)));
+        StringBuilder now = new StringBuilder();
+        for (Script.Trouble trouble : day.troubles) {
+            boolean on = !trouble.at().over(time()) && trouble.at().plus(trouble.lasts().atLeast(Span.ofMs(1000))).over(time());
+            if (on) now.append(now.length() == 0 ? "  " : "; ").append(trouble.words());
+        }
+        out.printf("%3d s  service of late %5.3f  build %d %s stage %d%s%n", second, Books.ratio(lately), desk.build(),
+            desk.standing().name().toLowerCase(java.util.Locale.ROOT).replace('_', ' '), desk.stage(), now);
+    }
+
+    /** Until every client has what it waits for, or the longest deadline is over. */
+    private void awaitAnswers() throws IOException, InterruptedException {
+        double longest = site.methods().stream().mapToDouble(method -> method.deadline().ms()).max().orElse(0) + 200;
+        long until = System.nanoTime() + (long) (longest * 1e6);
+        int[] open = {1};
+        while (open[0] > 0 && System.nanoTime() < until) {
+            Thread.sleep(50);
+            onLoop(() -> {
+                open[0] = 0;
+                for (int i = 0; i < site.methods().size(); i++) open[0] += (int) books.column(i).open();
+            });
+        }
+    }
+
+    private UnitStandIn unit(int build, int zone, int cores, double speed) {
+        int id = lastUnit++;
+        UnitStandIn unit = new UnitStandIn(loop, new TraceWriter(trace, "unit-" + id), limits, id, build, zone, cores, speed,
+            faults.get(build), site, shared, desk::count, chance.nextLong());
+        units.put(id, unit);
+        return unit;
+    }
+
+    private void list(UnitStandIn unit, Health health) {
+        roster.changed(Entry.newBuilder().setUnit(unit.id).setRun(unit.run()).setHost("127.0.0.1").setPort(unit.port())
+            .setZone(unit.zone).setBuild(unit.build).setHealth(health).setWeight(unit.cores * unit.speed).build(),
+            unit.startedCold());
+    }
+
+    // The release desk's machines.
+
+    void offer(BuildFault fault, String words) {
+        int build = ++lastBuild;
+        faults.put(build, fault);
+        if (fault.what() == BuildFault.What.SLOWS_ALL) shared.drag(fault.amount());
+        offered.add(new Offered(build, time(), words));
+        desk.offer(build);
+    }
+
+    @Override
+    public void enter(int build, int stage) {
+        steps.add(new Step(time(), "build " + build + " on trial, stage " + stage));
+        wanted.add(build);
+        long places = Math.max(1, Math.round(site.stages().get(stage).share() * firstUnits.size()));
+        long have = units.values().stream().filter(unit -> unit.build == build && !unit.isDown()).count();
+        for (long i = have; i < places; i++) {
+            Script.Units like = like((int) i);
+            UnitStandIn unit = unit(build, like.zone(), like.cores(), like.speed());
+            loop.at(loop.now().plus(BOOT.times(0.5 + chance.nextDouble())), () -> {
+                if (!wanted.contains(build)) return;
+                start(unit);
+            });
+        }
+    }
+
+    private Script.Units like(int place) {
+        for (Script.Units some : day.units) {
+            if (place < some.count()) return some;
+            place -= some.count();
+        }
+        return day.units.get(0);
+    }
+
+    private void start(UnitStandIn unit) {
+        try {
+            unit.start(true);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        if (!unit.hasFallen()) list(unit, Health.READY);
+    }
+
+    @Override
+    public void released(int build) {
+        steps.add(new Step(time(), "build " + build + " released"));
+        for (UnitStandIn unit : List.copyOf(units.values())) if (unit.build < build) drain(unit.id);
+    }
+
+    @Override
+    public void takeOff(int build) {
+        steps.add(new Step(time(), "build " + build + " goes back"));
+        wanted.remove(build);
+        shared.drag(1);
+        // where the earlier machines have gone, new ones of the earlier build come first
+        boolean gone = units.values().stream().noneMatch(unit -> unit.build < build && !unit.isDown() && !unit.isDraining());
+        if (gone) {
+            for (int i = 0; i < firstUnits.size(); i++) {
+                Script.Units like = like(i);
+                UnitStandIn unit = unit(FIRST_BUILD, like.zone(), like.cores(), like.speed());
+                loop.at(loop.now().plus(BOOT), () -> start(unit));
+            }
+        }
+        Span after = gone ? BOOT.plus(site.cold().lasts()) : Span.ZERO;
+        loop.at(loop.now().plus(after), () -> {
+            for (UnitStandIn unit : List.copyOf(units.values())) if (unit.build == build) drain(unit.id);
+        });
+    }
+
+    // What befalls units.
+
+    void drain(int id) {
+        UnitStandIn unit = units.get(id);
+        if (unit.isDown() || unit.isDraining()) return;
+        list(unit, Health.DRAINING);
+        // it turns work away only once the list must have told
+        loop.at(loop.now().plus(day.notice).plus(day.drainGrace), () -> {
+            unit.drain();
+            endOnceDone(unit);
+        });
+    }
+
+    private void endOnceDone(UnitStandIn unit) {
+        if (unit.held() > 0 && !unit.isDown()) {
+            loop.at(loop.now().plus(Span.ofMs(50)), () -> endOnceDone(unit));
+            return;
+        }
+        unit.kill();
+        list(unit, Health.GONE);
+    }
+
+    void die(int id) {
+        units.get(id).kill();
+        list(units.get(id), Health.GONE);
+    }
+
+    void restart(int id, Span within) {
+        UnitStandIn unit = units.get(id);
+        unit.kill();
+        loop.at(loop.now().plus(within), () -> start(unit));
+    }
+
+    void ill(int id, Ill ill, boolean on) {
+        ill.set(units.get(id), on, this);
+    }
+
+    void ill(double share, Ill ill, boolean on) {
+        if (!on) {
+            for (UnitStandIn unit : illOnes.remove(ill)) ill.set(unit, false, this);
+            return;
+        }
+        List<UnitStandIn> there = new ArrayList<>(units.values());
+        there.removeIf(UnitStandIn::isDown);
+        for (int i = there.size(); i > Math.round(share * units.size()); i--) there.remove(chance.nextInt(there.size()));
+        illOnes.put(ill, there);
+        for (UnitStandIn unit : there) ill.set(unit, true, this);
+    }
+
+    /** Another program takes a share of the machine, half of the time. */
+    void neighbour(UnitStandIn unit, double share, boolean on) {
+        int spell = spells.merge(unit, 1, Integer::sum);
+        unit.steal(0);
+        if (on) alternate(unit, spell, true, () -> unit.steal(share), () -> unit.steal(0), Span.ofMs(700), Span.ofMs(700));
+    }
+
+    void pauses(UnitStandIn unit, Span pause, Span every, boolean on) {
+        int spell = spells.merge(unit, 1, Integer::sum);
+        unit.pause(false);
+        if (on) alternate(unit, spell, true, () -> unit.pause(true), () -> unit.pause(false), pause, every.minus(pause));
+    }
+
+    private void alternate(UnitStandIn unit, int spell, boolean begin, Runnable on, Runnable off, Span forOn, Span forOff) {
+        if (spells.get(unit) != spell) return;
+        (begin ? on : off).run();
+        loop.at(loop.now().plus(begin ? forOn : forOff), () -> alternate(unit, spell, !begin, on, off, forOn, forOff));
+    }
+
+    void zoneLink(int zone, Span delay) {
+        for (UnitStandIn unit : units.values()) if (unit.zone == zone) unit.linkDelay(delay);
+    }
+
+    // What befalls relays and clients.
+
+    void relayDown(int relay, boolean killed) {
+        if (!killed) {
+            relays.get(relay).stop();
+            return;
+        }
+        relays.get(relay).kill();
+    }
+
+    void relayUp(int relay) {
+        RelayProcess process = relays.get(relay);
+        if (process.alive()) { // it still finishes
+            loop.at(loop.now().plus(Span.ofMs(100)), () -> relayUp(relay));
+            return;
+        }
+        try {
+            process.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    void relayStalls(int relay, boolean on) {
+        try {
+            relays.get(relay).hold(on);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    void relayBusy(int relay, double times) {
+        clients.get(relay).forEach(client -> client.times(times));
+    }
+
+    void burst(double times) {
+        clients.forEach(own -> own.forEach(client -> client.times(times)));
+    }
+
+    void customerTimes(int customer, double times) {
+        clients.forEach(own -> own.forEach(client -> client.customerTimes(customer, times)));
+    }
+
+    void rude(boolean on) {
+        clients.forEach(own -> own.forEach(client -> client.rude(on)));
+    }
+
+    /** After the day: how many units were pushed over. */
+    void count() {
+        fallen = (int) units.values().stream().filter(UnitStandIn::hasFallen).count();
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/rehearsal/Rehearsal.java
@@ -0,0 +1,34 @@
+package sprucerock.rehearsal;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import sprucerock.judge.Judge;
+
+/** A day from its script to its report. */
+public final class Rehearsal {
+    private Rehearsal() {}
+
+    /** One line about a script that can be played. */
+    public static String check(Path script) throws IOException, Script.ScriptException {
+        Script day = Script.read(script);
+        return script + ": \"" + day.name + "\", " + day.lasts.ms() / 1000 + " s, " + day.relays + " relays, "
+            + day.troubles.size() + " troubles: in order";
+    }
+
+    /** Plays it, and leaves traces, logs and report.txt in a folder. True where all rules were kept and all relays ended well. */
+    public static boolean play(Path script, Path folder, PrintStream out)
+        throws IOException, InterruptedException, Script.ScriptException {
+        Play play = new Play(Script.read(script), folder, out);
+        play.run();
+        play.count();
+        Judge.Verdict verdict = Judge.judge(folder);
+        String report = Report.of(play, verdict);
+        Files.writeString(folder.resolve("report.txt"), report);
+        out.print(report);
+        out.println();
+        out.println("traces, logs and this report: " + folder);
+        return verdict.kept() && play.relays().stream().allMatch(relay -> relay.badEnds() == 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/rehearsal/RelayXml.java
@@ -0,0 +1,56 @@
+package sprucerock.rehearsal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.Map;
+import sprucerock.standin.Site;
+import sprucerock.time.Span;
+
+/** Writes a relay's configuration for a day. */
+final class RelayXml {
+    private RelayXml() {}
+
+    static void write(Path file, Script day, int number, int port, int roster, int desk, Map<Integer, Integer> peers)
+        throws IOException {
+        StringBuilder xml = new StringBuilder("<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n");
+        xml.append(String.format(Locale.ROOT, "<relay xmlns=\"urn:sprucerock:relay:1\" name=\"relay-%d\" number=\"%d\" seed=\"%d\">%n",
+            number, number, day.seed * 1000 + number));
+        xml.append(address("listen", port, "")).append(address("roster", roster, "")).append(address("desk", desk, ""));
+        peers.forEach((other, at) -> xml.append(address("peer", at, " number=\"" + other + "\"")));
+        xml.append("  <limits/>\n  <connections/>\n");
+        xml.append(String.format(Locale.ROOT, "  <site relays=\"%d\" tick=\"%s\" ask=\"%b\">%n", day.relays, span(day.tick), day.ask));
+        for (Site.Method method : day.methods) {
+            String effect = method.effect().name().toLowerCase(Locale.ROOT).replace('_', '-');
+            String window = method.effect() == Site.Effect.TOKENED ? " window=\"" + span(method.window()) + "\"" : "";
+            xml.append(String.format(Locale.ROOT,
+                "    <method name=\"%s\" effect=\"%s\" soft-deadline=\"%s\" deadline=\"%s\" utility=\"%s\"%s/>%n", method.name(),
+                effect, span(method.soft()), span(method.deadline()), method.utility(), window));
+        }
+        for (Site.Customer customer : day.customers) {
+            xml.append("    <customer name=\"" + customer.name() + "\" share=\"" + customer.share() + "\"/>\n");
+        }
+        for (Site.Stage stage : day.stages) xml.append("    <stage cap=\"" + stage.cap() + "\"/>\n");
+        xml.append(String.format(Locale.ROOT, "    <rules drain-grace=\"%s\" cold=\"%s\" start-capacity=\"%s\" tip-multiple=\"%s\" "
+            + "tip-after=\"%s\" counted-over=\"%s\" free-picks=\"%s\" cap-by-method=\"%b\" guarded-stages=\"%d\" one-way-keys=\"%b\"/>%n",
+            span(day.drainGrace), span(day.cold.lasts()), day.cold.from(), day.cold.tipMultiple(), span(day.cold.tipAfter()),
+            span(day.countedOver), day.free, day.byMethod, day.guarded, day.oneWay));
+        xml.append(String.format(Locale.ROOT, "    <allowed picks=\"%d\" second-copies=\"%b\" cancel=\"%b\" peers=\"%b\" "
+            + "retry-after=\"%b\" most-retry-after=\"%s\"/>%n", day.picks, day.secondCopies, day.cancel, day.peers, day.retryAfter,
+            span(day.mostRetryAfter)));
+        xml.append(String.format(Locale.ROOT, "    <votes control=\"%s\" life=\"%s\" answer-within=\"%s\"%s/>%n",
+            day.control.name().toLowerCase(Locale.ROOT), span(day.voteLife), span(day.answerWithin),
+            day.countsEvery.over(Span.ZERO) ? " counts-every=\"" + span(day.countsEvery) + "\"" : ""));
+        xml.append("  </site>\n</relay>\n");
+        Files.writeString(file, xml.toString());
+    }
+
+    private static String address(String name, int port, String more) {
+        return "  <" + name + " host=\"127.0.0.1\" port=\"" + port + "\"" + more + "/>\n";
+    }
+
+    private static String span(Span span) {
+        return new java.math.BigDecimal(String.valueOf(span.ms())).stripTrailingZeros().toPlainString() + "ms";
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/rehearsal/Script.java
@@ -0,0 +1,565 @@
+package sprucerock.rehearsal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.antlr.v4.runtime.BaseErrorListener;
+import org.antlr.v4.runtime.CharStreams;
+import org.antlr.v4.runtime.CommonTokenStream;
+import org.antlr.v4.runtime.ParserRuleContext;
+import org.antlr.v4.runtime.RecognitionException;
+import org.antlr.v4.runtime.Recognizer;
+import org.antlr.v4.runtime.Token;
+import sprucerock.standin.BuildFault;
+import sprucerock.standin.ClientStandIn.Manners;
+import sprucerock.standin.Site;
+import sprucerock.time.Span;
+
+/** A day as its script has it, checked; what it leaves out has the values below. */
+public final class Script {
+    /** A script that can't be played; the message has file, line and column, and what is wrong. */
+    public static final class ScriptException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        ScriptException(String message) {
+            super(message);
+        }
+    }
+
+    /** Units of one kind that are there from the start. */
+    public record Units(int count, int zone, int cores, double speed) {}
+
+    /** What can befall a day; each happening begins and, where it lasts, ends. */
+    public interface Happening {
+        void begin(Play play);
+
+        default void end(Play play) {}
+    }
+
+    /** A line of the day: when, how long (zero: at once), the words of the script, and what it does. */
+    public record Trouble(Span at, Span lasts, String words, Happening what) {}
+
+    public String name = "";
+    public long seed = 1;
+    public Span lasts = Span.ofMs(30_000);
+    public int relays = 3;
+    public Span tick = Span.ofMs(5);
+    public final List<Units> units = new ArrayList<>();
+    public final List<Site.Method> methods = new ArrayList<>();
+    public final List<Site.Customer> customers = new ArrayList<>();
+    public final List<Site.Stage> stages = new ArrayList<>();
+    public Site.Control control = Site.Control.SINGLE;
+    public int on = 1;
+    public int hold = 1;
+    public int back = 1;
+    public Span voteLife = Span.ofMs(4000);
+    public Span answerWithin = Span.ofMs(2000);
+    public Span bake = Span.ofMs(2000);
+    public Span step = Span.ofMs(4000);
+    public Span countsEvery = Span.ZERO;
+    public double sample = 0.4;
+    public Site.Cold cold = new Site.Cold(0.4, Span.ofMs(4000), 3, Span.ofMs(1000));
+    public double free = 3;
+    public Span countedOver = Span.ofMs(3000);
+    public boolean byMethod;
+    public int guarded;
+    public boolean oneWay;
+    public Span drainGrace = Span.ofMs(500);
+    public Span notice = Span.ofMs(300);
+    public boolean ask;
+    public int picks = 5;
+    public boolean secondCopies;
+    public boolean cancel;
+    public boolean peers;
+    public boolean retryAfter;
+    public Span mostRetryAfter = Span.ofMs(500);
+    public double perSecond = 100;
+    public double busiest = 1;
+    public int clientsEach = 2;
+    public Manners manners = new Manners(2, Span.ofMs(100), 0, 0.3);
+    public final List<Trouble> troubles = new ArrayList<>();
+
+    private final String file;
+
+    private Script(String file) {
+        this.file = file;
+    }
+
+    public Site site() {
+        return new Site(methods, customers, stages,
+            new Site.Desk(control, on, hold, back, voteLife, bake, step, countsEvery, sample), cold);
+    }
+
+    public static Script read(Path path) throws IOException, ScriptException {
+        return parse(path.toString(), Files.readString(path));
+    }
+
+    /** The first thing that is wrong ends it. */
+    public static Script parse(String file, String text) throws ScriptException {
+        List<String> wrong = new ArrayList<>();
+        BaseErrorListener listener = new BaseErrorListener() {
+            @Override
+            public void syntaxError(Recognizer<?, ?> recognizer, Object symbol, int line, int column, String message,
+                RecognitionException e) {
+                wrong.add(file + ":" + line + ":" + (column + 1) + ": " + message.replaceAll("\\s+", " "));
+            }
+        };
+        DayLexer lexer = new DayLexer(CharStreams.fromString(text));
+        lexer.removeErrorListeners();
+        lexer.addErrorListener(listener);
+        DayParser parser = new DayParser(new CommonTokenStream(lexer));
+        parser.removeErrorListeners();
+        parser.addErrorListener(listener);
+        DayParser.DayContext day = parser.day();
+        if (!wrong.isEmpty()) throw new ScriptException(wrong.get(0));
+        Script script = new Script(file);
+        String quoted = day.STRING().getText();
+        script.name = quoted.substring(1, quoted.length() - 1);
+        try {
+            for (DayParser.LineContext line : day.line()) line.accept(script.new Settler());
+            script.check(day);
+            for (DayParser.LineContext line : day.line()) line.accept(script.new Plotter());
+        } catch (Wrong e) {
+            throw new ScriptException(e.getMessage());
+        }
+        return script;
+    }
+
+    private static final class Wrong extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Wrong(String message) {
+            super(message);
+        }
+    }
+
+    private Wrong wrong(Token where, String what) {
+        return new Wrong(file + ":" + where.getLine() + ":" + (where.getCharPositionInLine() + 1) + ": " + what);
+    }
+
+    private Wrong wrong(ParserRuleContext where, String what) {
+        return wrong(where.getStart(), what);
+    }
+
+    private void check(ParserRuleContext day) {
+        if (methods.isEmpty()) throw wrong(day, "a day needs a method");
+        if (units.isEmpty()) throw wrong(day, "a day needs units");
+        if (stages.isEmpty()) stages.addAll(List.of(new Site.Stage(0.1, 0.12), new Site.Stage(0.4, 0.45), new Site.Stage(1, 1)));
+        if (relays < 1 || relays > 50) throw wrong(day, "1 to 50 relays can be played on one machine, not " + relays);
+        double shares = methods.stream().mapToDouble(Site.Method::share).sum();
+        if (Math.abs(shares - 1) > 0.01) throw wrong(day, "the shares of the methods add up to " + Math.round(100 * shares) + "%, not 100%");
+        double customerShares = customers.stream().mapToDouble(Site.Customer::share).sum();
+        if (!customers.isEmpty() && Math.abs(customerShares - 1) > 0.01) {
+            throw wrong(day, "the shares of the customers add up to " + Math.round(100 * customerShares) + "%, not 100%");
+        }
+    }
+
+    private static Span span(Token token) {
+        String text = token.getText();
+        String unit = text.replaceFirst("^[0-9.]+", "");
+        double value = Double.parseDouble(text.substring(0, text.length() - unit.length()));
+        return Span.ofMs(value * switch (unit) {
+            case "us" -> 0.001;
+            case "ms" -> 1;
+            case "s" -> 1000;
+            default -> 60_000;
+        });
+    }
+
+    private static double percent(Token token) {
+        String text = token.getText();
+        return Double.parseDouble(text.substring(0, text.length() - 1)) / 100;
+    }
+
+    private double share(Token token) {
+        double share = percent(token);
+        if (share > 1) throw wrong(token, token.getText() + " is more than 100%");
+        return share;
+    }
+
+    private static double number(DayParser.NumberContext context) {
+        return Double.parseDouble(context.getText());
+    }
+
+    private double factor(DayParser.NumberContext context) {
+        double factor = number(context);
+        if (!(factor > 0)) throw wrong(context, "a factor is above 0");
+        return factor;
+    }
+
+    private int whole(Token token, int most) {
+        try {
+            int value = Integer.parseInt(token.getText());
+            if (value <= most) return value;
+        } catch (NumberFormatException e) {
+            // said below, like a number that is merely too large
+        }
+        throw wrong(token, token.getText() + " is more than " + most);
+    }
+
+    private int named(Token token, List<String> names, String what) {
+        int at = names.indexOf(token.getText());
+        if (at < 0) throw wrong(token, "no " + what + " is called " + token.getText() + "; there are " + names);
+        return at;
+    }
+
+    private int method(Token token) {
+        return named(token, methods.stream().map(Site.Method::name).toList(), "method");
+    }
+
+    private int customer(Token token) {
+        return named(token, customers.stream().map(Site.Customer::name).toList(), "customer");
+    }
+
+    /** Reads what holds for the whole day. */
+    private final class Settler extends DayBaseVisitor<Void> {
+        @Override
+        public Void visitSeed(DayParser.SeedContext c) {
+            seed = Long.parseLong(c.INT().getText());
+            return null;
+        }
+
+        @Override
+        public Void visitLasts(DayParser.LastsContext c) {
+            lasts = span(c.SPAN().getSymbol());
+            if (lasts.over(Span.ofMs(3_600_000))) throw wrong(c, "a day lasts an hour at most");
+            return null;
+        }
+
+        @Override
+        public Void visitRelays(DayParser.RelaysContext c) {
+            relays = whole(c.INT().getSymbol(), 50);
+            return null;
+        }
+
+        @Override
+        public Void visitTick(DayParser.TickContext c) {
+            tick = span(c.SPAN().getSymbol());
+            return null;
+        }
+
+        @Override
+        public Void visitUnits(DayParser.UnitsContext c) {
+            units.add(new Units(whole(c.INT(0).getSymbol(), 1000), c.zone == null ? 0 : whole(c.zone, 60_000),
+                c.cores == null ? 2 : whole(c.cores, 1000), c.speed == null ? 1 : factor(c.speed)));
+            return null;
+        }
+
+        @Override
+        public Void visitMethod(DayParser.MethodContext c) {
+            DayParser.EffectContext effect = c.effect();
+            boolean tokened = effect.SPAN() != null;
+            Site.Effect what = tokened ? Site.Effect.TOKENED : effect.getText().equals("idempotent")
+                ? Site.Effect.IDEMPOTENT : Site.Effect.NON_IDEMPOTENT;
+            if (span(c.soft).over(span(c.deadline))) throw wrong(c.soft, "the soft deadline is past the deadline");
+            methods.add(new Site.Method(c.NAME().getText(), what, share(c.share), span(c.work).ms(), span(c.soft),
+                span(c.deadline), factor(c.utility), tokened ? span(effect.SPAN().getSymbol()) : Span.ZERO));
+            return null;
+        }
+
+        @Override
+        public Void visitCustomer(DayParser.CustomerContext c) {
+            customers.add(new Site.Customer(c.NAME().getText(), share(c.PERCENT().getSymbol())));
+            return null;
+        }
+
+        @Override
+        public Void visitStage(DayParser.StageContext c) {
+            stages.add(new Site.Stage(share(c.share), share(c.cap)));
+            return null;
+        }
+
+        @Override
+        public Void visitVotes(DayParser.VotesContext c) {
+            control = Site.Control.valueOf(c.control().getText().toUpperCase(java.util.Locale.ROOT));
+            voteLife = span(c.life);
+            answerWithin = span(c.answer);
+            bake = span(c.bake);
+            if (c.step != null) step = span(c.step);
+            if (c.on != null) on = whole(c.on, 1000);
+            if (c.hold != null) hold = whole(c.hold, 1000);
+            if (c.back != null) back = whole(c.back, 1000);
+            return null;
+        }
+
+        @Override
+        public Void visitCounts(DayParser.CountsContext c) {
+            countsEvery = span(c.SPAN().getSymbol());
+            sample = share(c.PERCENT().getSymbol());
+            return null;
+        }
+
+        @Override
+        public Void visitCold(DayParser.ColdContext c) {
+            cold = new Site.Cold(share(c.PERCENT().getSymbol()), span(c.lasts), factor(c.number()), span(c.after));
+            return null;
+        }
+
+        @Override
+        public Void visitExposure(DayParser.ExposureContext c) {
+            free = number(c.number());
+            countedOver = span(c.SPAN().getSymbol());
+            byMethod = c.byMethod != null;
+            if (c.INT() != null) guarded = whole(c.INT().getSymbol(), 100);
+            oneWay = c.oneWay != null;
+            return null;
+        }
+
+        @Override
+        public Void visitDrainGrace(DayParser.DrainGraceContext c) {
+            drainGrace = span(c.SPAN().getSymbol());
+            return null;
+        }
+
+        @Override
+        public Void visitRosterNotice(DayParser.RosterNoticeContext c) {
+            notice = span(c.SPAN().getSymbol());
+            ask = c.ask != null;
+            return null;
+        }
+
+        @Override
+        public Void visitAllow(DayParser.AllowContext c) {
+            for (DayParser.AllowedContext one : c.allowed()) {
+                if (one.INT() != null) picks = whole(one.INT().getSymbol(), 100);
+                else if (one.SPAN() != null) {
+                    retryAfter = true;
+                    mostRetryAfter = span(one.SPAN().getSymbol());
+                } else {
+                    secondCopies |= one.getText().equals("second-copies");
+                    cancel |= one.getText().equals("cancel");
+                    peers |= one.getText().equals("peers");
+                }
+            }
+            return null;
+        }
+
+        @Override
+        public Void visitTraffic(DayParser.TrafficContext c) {
+            perSecond = factor(c.number(0));
+            if (perSecond > 20_000) throw wrong(c, "a day has 20000 RPCs a second at most");
+            if (c.times != null) busiest = factor(c.times);
+            return null;
+        }
+
+        @Override
+        public Void visitClients(DayParser.ClientsContext c) {
+            clientsEach = Math.max(1, whole(c.INT(0).getSymbol(), 1000));
+            double impatient = c.PERCENT() == null ? 0 : share(c.PERCENT().getSymbol());
+            manners = new Manners(whole(c.retries, 100), span(c.SPAN().getSymbol()), impatient, 0.3);
+            return null;
+        }
+    }
+
+    /** Reads what happens, once it is known what there is for it to happen to. */
+    private final class Plotter extends DayBaseVisitor<Void> {
+        private Span at;
+        private String words;
+
+        @Override
+        public Void visitAt(DayParser.AtContext c) {
+            at = span(c.SPAN().getSymbol());
+            if (!lasts.over(at)) throw wrong(c, "the day ends after " + lasts.ms() / 1000 + "s");
+            Token from = c.trouble().getStart();
+            Token to = c.trouble().getStop();
+            words = from.getInputStream().getText(
+                org.antlr.v4.runtime.misc.Interval.of(from.getStartIndex(), to.getStopIndex())).replaceAll("\\s+", " ");
+            return c.trouble().accept(this);
+        }
+
+        private Void add(Token length, Happening what) {
+            troubles.add(new Trouble(at, length == null ? Span.ZERO : span(length), words, what));
+            return null;
+        }
+
+        private Void lasting(Token length, java.util.function.Consumer<Play> begin, java.util.function.Consumer<Play> end) {
+            return add(length, new Happening() {
+                @Override
+                public void begin(Play play) {
+                    begin.accept(play);
+                }
+
+                @Override
+                public void end(Play play) {
+                    end.accept(play);
+                }
+            });
+        }
+
+        private int unit(Token token) {
+            int count = units.stream().mapToInt(Units::count).sum();
+            return whole(token, count - 1);
+        }
+
+        private int relay(Token token) {
+            return whole(token, relays - 1);
+        }
+
+        @Override
+        public Void visitOffer(DayParser.OfferContext c) {
+            BuildFault fault = c.fault() == null ? BuildFault.GOOD : fault(c.fault());
+            return add(null, play -> play.offer(fault, words));
+        }
+
+        private BuildFault fault(DayParser.FaultContext c) {
+            return switch (c.getStart().getText()) {
+                case "errors" -> new BuildFault(BuildFault.What.ERRORS, share(c.PERCENT().getSymbol()), 0);
+                case "method" -> new BuildFault(BuildFault.What.METHOD, share(c.PERCENT().getSymbol()),
+                    method(c.NAME().getSymbol()));
+                case "slow" -> new BuildFault(BuildFault.What.SLOW, factor(c.number()), 0);
+                case "under" -> new BuildFault(BuildFault.What.LOAD, share(c.PERCENT().getSymbol()), 0);
+                case "late" -> new BuildFault(BuildFault.What.LATE, span(c.SPAN().getSymbol()).ms() / 1000, 0);
+                case "wrong" -> new BuildFault(BuildFault.What.WRONG, share(c.PERCENT().getSymbol()), 0);
+                default -> new BuildFault(BuildFault.What.SLOWS_ALL, factor(c.number()), 0);
+            };
+        }
+
+        @Override
+        public Void visitUnitFate(DayParser.UnitFateContext c) {
+            int unit = unit(c.INT().getSymbol());
+            DayParser.FateContext fate = c.fate();
+            Span within = fate.SPAN() == null ? Span.ZERO : span(fate.SPAN().getSymbol());
+            return switch (fate.getStart().getText()) {
+                case "drains" -> add(null, play -> play.drain(unit));
+                case "dies" -> add(null, play -> play.die(unit));
+                default -> add(null, play -> play.restart(unit, within));
+            };
+        }
+
+        @Override
+        public Void visitUnitIll(DayParser.UnitIllContext c) {
+            int unit = unit(c.INT().getSymbol());
+            Play.Ill ill = ill(c.ill());
+            return lasting(c.SPAN().getSymbol(), play -> play.ill(unit, ill, true), play -> play.ill(unit, ill, false));
+        }
+
+        @Override
+        public Void visitUnitsIll(DayParser.UnitsIllContext c) {
+            double share = share(c.PERCENT().getSymbol());
+            Play.Ill ill = ill(c.ill());
+            return lasting(c.SPAN().getSymbol(), play -> play.ill(share, ill, true), play -> play.ill(share, ill, false));
+        }
+
+        private Play.Ill ill(DayParser.IllContext c) {
+            return switch (c.getStart().getText()) {
+                case "hangs" -> (unit, on, play) -> unit.hang(on);
+                case "fails" -> {
+                    double share = share(c.PERCENT().getSymbol());
+                    yield (unit, on, play) -> unit.fail(on ? share : 0);
+                }
+                case "slow" -> {
+                    double times = factor(c.number());
+                    yield (unit, on, play) -> unit.slow(on ? times : 1);
+                }
+                case "loses" -> (unit, on, play) -> unit.loseAnswers(on);
+                case "talks" -> (unit, on, play) -> unit.rubbish(on);
+                case "neighbour" -> {
+                    double share = Math.min(0.99, share(c.PERCENT().getSymbol()));
+                    yield (unit, on, play) -> play.neighbour(unit, share, on);
+                }
+                case "pauses" -> {
+                    Span pause = span(c.pause);
+                    Span every = span(c.every);
+                    if (!every.over(pause)) throw wrong(c, "it pauses longer than there is between two pauses");
+                    yield (unit, on, play) -> play.pauses(unit, pause, every, on);
+                }
+                default -> {
+                    int most = whole(c.INT().getSymbol(), 1_000_000);
+                    yield (unit, on, play) -> unit.connections(on ? most : Integer.MAX_VALUE);
+                }
+            };
+        }
+
+        @Override
+        public Void visitRelayDown(DayParser.RelayDownContext c) {
+            int relay = relay(c.INT().getSymbol());
+            boolean killed = c.getChild(2).getText().equals("killed");
+            return lasting(c.SPAN().getSymbol(), play -> play.relayDown(relay, killed), play -> play.relayUp(relay));
+        }
+
+        @Override
+        public Void visitRelayStalls(DayParser.RelayStallsContext c) {
+            int relay = relay(c.INT().getSymbol());
+            return lasting(c.SPAN().getSymbol(), play -> play.relayStalls(relay, true), play -> play.relayStalls(relay, false));
+        }
+
+        @Override
+        public Void visitRelayBusy(DayParser.RelayBusyContext c) {
+            int relay = relay(c.INT().getSymbol());
+            double times = factor(c.number());
+            return lasting(c.SPAN().getSymbol(), play -> play.relayBusy(relay, times), play -> play.relayBusy(relay, 1));
+        }
+
+        @Override
+        public Void visitBurst(DayParser.BurstContext c) {
+            double times = factor(c.number());
+            return lasting(c.SPAN().getSymbol(), play -> play.burst(times), play -> play.burst(1));
+        }
+
+        @Override
+        public Void visitCustomerBurst(DayParser.CustomerBurstContext c) {
+            int customer = customer(c.NAME().getSymbol());
+            double times = factor(c.number());
+            return lasting(c.SPAN().getSymbol(), play -> play.customerTimes(customer, times),
+                play -> play.customerTimes(customer, 1));
+        }
+
+        @Override
+        public Void visitEverythingSlow(DayParser.EverythingSlowContext c) {
+            double times = factor(c.number());
+            return lasting(c.SPAN().getSymbol(), play -> play.shared().slow(times), play -> play.shared().slow(1));
+        }
+
+        @Override
+        public Void visitMethodSlow(DayParser.MethodSlowContext c) {
+            int method = method(c.NAME().getSymbol());
+            double times = factor(c.number());
+            return lasting(c.SPAN().getSymbol(), play -> play.shared().slow(method, times),
+                play -> play.shared().slow(method, 1));
+        }
+
+        @Override
+        public Void visitMessages(DayParser.MessagesContext c) {
+            if (c.late != null) {
+                Span late = span(c.late);
+                return lasting(c.length, play -> play.between().delay(late), play -> play.between().delay(Span.ofMs(1)));
+            }
+            double share = share(c.PERCENT().getSymbol());
+            return lasting(c.length, play -> play.between().lose(share), play -> play.between().lose(0));
+        }
+
+        @Override
+        public Void visitRosterIll(DayParser.RosterIllContext c) {
+            if (c.late == null) return lasting(c.length, play -> play.roster().down(true), play -> play.roster().down(false));
+            Span late = span(c.late);
+            return lasting(c.length, play -> play.roster().late(late), play -> play.roster().late(Span.ZERO));
+        }
+
+        @Override
+        public Void visitDeskIll(DayParser.DeskIllContext c) {
+            if (c.late == null) return lasting(c.length, play -> play.desk().down(true), play -> play.desk().down(false));
+            Span late = span(c.late);
+            return lasting(c.length, play -> play.desk().late(late), play -> play.desk().late(Span.ZERO));
+        }
+
+        @Override
+        public Void visitCountsLate(DayParser.CountsLateContext c) {
+            Span late = span(c.late);
+            return lasting(c.length, play -> play.desk().countsLate(late), play -> play.desk().countsLate(Span.ZERO));
+        }
+
+        @Override
+        public Void visitZoneLink(DayParser.ZoneLinkContext c) {
+            int zone = whole(c.INT().getSymbol(), 60_000);
+            Span late = span(c.late);
+            return lasting(c.length, play -> play.zoneLink(zone, late), play -> play.zoneLink(zone, Span.ZERO));
+        }
+
+        @Override
+        public Void visitRude(DayParser.RudeContext c) {
+            return lasting(c.SPAN().getSymbol(), play -> play.rude(true), play -> play.rude(false));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/relay/Asked.java
@@ -0,0 +1,19 @@
+package sprucerock.relay;
+
+import sprucerock.model.Rpc;
+
+/** What the door keeps with an RPC: who asked, under which id, and what the units are sent. */
+final class Asked {
+    final ClientLink client;
+    final long id;
+    final long token;
+    final byte[] body;
+    Rpc rpc;
+
+    Asked(ClientLink client, long id, long token, byte[] body) {
+        this.client = client;
+        this.id = id;
+        this.token = token;
+        this.body = body;
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/relay/DeskLink.java
@@ -0,0 +1,144 @@
+package sprucerock.relay;
+
+import com.google.protobuf.MessageLite;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import sprucerock.config.RelayConfig;
+import sprucerock.ledger.Ledger;
+import sprucerock.model.Build;
+import sprucerock.model.Reply;
+import sprucerock.model.Standing;
+import sprucerock.model.Verdict;
+import sprucerock.net.Net;
+import sprucerock.net.Timers.Timer;
+import sprucerock.stats.Chance;
+import sprucerock.time.Span;
+import sprucerock.wire.FrameLink;
+import sprucerock.wire.FrameUser;
+import sprucerock.wire.Kind;
+import sprucerock.wire.Redial;
+import sprucerock.wire.Tap;
+import sprucerock.wire.v1.Counts;
+import sprucerock.wire.v1.Hello;
+import sprucerock.wire.v1.News;
+import sprucerock.wire.v1.Role;
+import sprucerock.wire.v1.Say;
+import sprucerock.wire.v1.Vote;
+import sprucerock.wire.v1.Voted;
+
+/** News and counts of the release desk, told to the ledger; and the module's votes, each with one answer or none in time. */
+final class DeskLink implements FrameUser {
+    private final Net net;
+    private final RelayConfig config;
+    private final Ledger ledger;
+    private final Events events;
+    private final Consumer<Reply> answered;
+    private final Redial redial;
+    private final Map<Long, Timer> votes = new HashMap<>();
+    private long lastVote;
+    private boolean stopping;
+
+    DeskLink(Net net, RelayConfig config, Hello mine, Tap tap, Ledger ledger, Events events, Chance chance,
+        Consumer<Reply> answered) {
+        this.net = net;
+        this.config = config;
+        this.ledger = ledger;
+        this.events = events;
+        this.answered = answered;
+        redial = new Redial(net, config.desk, mine, config.link, tap, chance, this);
+    }
+
+    void start() {
+        redial.dial();
+    }
+
+    void stop() {
+        stopping = true;
+        redial.stop();
+    }
+
+    void vote(Build build, int stage, Verdict verdict) {
+        long id = ++lastVote;
+        Say say = switch (verdict) {
+            case NONE -> Say.NOTHING;
+            case ON -> Say.ON;
+            case HOLD -> Say.HOLD;
+            case BACK -> Say.BACK;
+        };
+        redial.send(Kind.VOTE, Vote.newBuilder().setId(id).setBuild(build.number).setStage(stage).setSay(say).build(),
+            ClientLink.NO_BODY);
+        // one that could not be sent is not answered either: to the module the desk is away in both cases
+        votes.put(id, net.at(net.now().plus(config.settings.callTimeout), () -> {
+            votes.remove(id);
+            events.warn(Events.Kind.VOTE_UNANSWERED, "vote " + verdict + " on build " + build.number + " within "
+                + config.settings.callTimeout.ms() + " ms; it may count");
+            answered.accept(Reply.UNANSWERED);
+        }));
+    }
+
+    @Override
+    public void greeted(FrameLink link, Hello other) {
+        if (other.getRole() != Role.DESK) {
+            redial.cut("no release desk answers there");
+            return;
+        }
+        events.info(Events.Kind.DESK_BACK, "linked to the release desk at " + config.desk);
+    }
+
+    @Override
+    public void frame(Kind kind, MessageLite head, byte[] body) {
+        if (kind == Kind.NEWS) news((News) head);
+        else if (kind == Kind.COUNTS) counts((Counts) head);
+        else if (kind == Kind.VOTED) voted((Voted) head);
+        else redial.cut("a release desk sends no " + kind);
+    }
+
+    private void news(News news) {
+        Standing standing = switch (news.getStanding()) {
+            case ON_TRIAL -> Standing.ON_TRIAL;
+            case GOING_BACK -> Standing.GOING_BACK;
+            case RELEASED -> Standing.RELEASED;
+            case WITHDRAWN -> Standing.WITHDRAWN;
+            default -> null;
+        };
+        boolean known = standing != null && news.getCap() >= 0 && news.getCap() <= 1 && news.getBuild() >>> 16 == 0
+            && news.getStage() >= 0 && news.getStage() <= config.settings.caps.size();
+        if (!known) {
+            events.warn(Events.Kind.NEWS_REFUSED, "build " + news.getBuild() + ", stage " + news.getStage() + ", cap "
+                + news.getCap() + ": no such standing, stage or cap; what was known holds");
+            return;
+        }
+        Span lasted = Span.ofMs(Math.max(0, news.getLastedUs()) / 1000.0);
+        ledger.news(news.getBuild(), news.getStage(), standing, news.getCap(), net.now().minus(lasted));
+    }
+
+    private void counts(Counts counts) {
+        int method = counts.getMethod();
+        if (method < 0 || method >= config.settings.methods.size() || counts.getFailed() > counts.getPicks()
+            || counts.getFailed() < 0) {
+            events.warn(Events.Kind.NEWS_REFUSED, "counts of method " + method + ": " + counts.getFailed() + " of "
+                + counts.getPicks() + " failed can't be; they are left out");
+            return;
+        }
+        ledger.counted(counts.getBuild(), method, counts.getPicks(), counts.getFailed(),
+            Span.ofMs(counts.getMeanUs() / 1000.0));
+    }
+
+    private void voted(Voted voted) {
+        Timer timer = votes.remove(voted.getId());
+        if (timer == null) return; // answered too late: it was taken as unanswered
+        timer.cancel();
+        answered.accept(switch (voted.getTaken()) {
+            case COUNTS -> Reply.COUNTS;
+            case MOOT -> Reply.MOOT;
+            case TOO_MANY -> Reply.TOO_MANY;
+            default -> Reply.ERROR;
+        });
+    }
+
+    @Override
+    public void closed(String why) {
+        if (!stopping) events.warn(Events.Kind.DESK_LOST, why + "; what it said last holds");
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/relay/Peers.java
@@ -0,0 +1,92 @@
+package sprucerock.relay;
+
+import com.google.protobuf.MessageLite;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.TreeMap;
+import sprucerock.config.RelayConfig;
+import sprucerock.net.Net;
+import sprucerock.stats.Chance;
+import sprucerock.wire.FrameLink;
+import sprucerock.wire.FrameUser;
+import sprucerock.wire.Kind;
+import sprucerock.wire.Redial;
+import sprucerock.wire.Tap;
+import sprucerock.wire.v1.Hello;
+import sprucerock.wire.v1.Role;
+import sprucerock.wire.v1.Told;
+
+/** Links to the other relays, made when the module first has something to tell. A message that can't go now is dropped. */
+final class Peers {
+    private final Net net;
+    private final RelayConfig config;
+    private final Hello mine;
+    private final Tap tap;
+    private final Events events;
+    private final Chance chance;
+    private final Map<Integer, Redial> links = new TreeMap<>();
+    private long dropped;
+    private boolean stopping;
+
+    Peers(Net net, RelayConfig config, Hello mine, Tap tap, Events events, Chance chance) {
+        this.net = net;
+        this.config = config;
+        this.mine = mine;
+        this.tap = tap;
+        this.events = events;
+        this.chance = chance;
+    }
+
+    long dropped() {
+        return dropped;
+    }
+
+    void tell(int number, byte[] contents) {
+        InetSocketAddress address = config.peers.get(number);
+        if (address == null || stopping) {
+            dropped++;
+            return;
+        }
+        Redial link = links.get(number);
+        if (link == null) {
+            link = new Redial(net, address, mine, config.link, tap, chance, new Other(number));
+            links.put(number, link);
+            link.dial();
+        }
+        // one that reads slowly loses messages, as the module expects, and is not cut for it
+        boolean room = link.usable() && link.unsent() + contents.length <= config.peerUnsent;
+        if (!room || !link.send(Kind.TOLD, Told.getDefaultInstance(), contents)) dropped++;
+    }
+
+    void tellAll(byte[] contents) {
+        for (int number : config.peers.keySet()) tell(number, contents);
+    }
+
+    void stop() {
+        stopping = true;
+        for (Redial link : links.values()) link.stop();
+    }
+
+    private final class Other implements FrameUser {
+        private final int number;
+
+        Other(int number) {
+            this.number = number;
+        }
+
+        @Override
+        public void greeted(FrameLink link, Hello other) {
+            if (other.getRole() != Role.RELAY || other.getNumber() != number) link.cut("another one answers there");
+        }
+
+        @Override
+        public void frame(Kind kind, MessageLite head, byte[] body) {
+            links.get(number).cut("a relay tells over links of its own");
+        }
+
+        @Override
+        public void closed(String why) {
+            if (!stopping) events.warn(Events.Kind.PEER_LOST, "relay " + number + ": " + why + "; messages to it are dropped");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -0,0 +1,343 @@
+package sprucerock.relay;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import sprucerock.config.RelayConfig;
+import sprucerock.host.Host;
+import sprucerock.host.Module;
+import sprucerock.ledger.Ledger;
+import sprucerock.ledger.MethodSums;
+import sprucerock.model.Build;
+import sprucerock.model.Method;
+import sprucerock.model.Outcome;
+import sprucerock.model.Pick;
+import sprucerock.model.Rpc;
+import sprucerock.model.Settings;
+import sprucerock.model.Unit;
+import sprucerock.model.Verdict;
+import sprucerock.net.Net;
+import sprucerock.net.Timers.Timer;
+import sprucerock.stats.Chance;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+import sprucerock.wire.FrameLink;
+import sprucerock.wire.Tap;
+import sprucerock.wire.v1.Call;
+import sprucerock.wire.v1.Ending;
+import sprucerock.wire.v1.Hello;
+import sprucerock.wire.v1.Role;
+
+/**
+ * The router: tells the module what happens on its links and carries out what it chooses. Where a limit is reached it
+ * has the answers that the configuration states, and none else; it chooses no unit, no further pick and no vote. All of
+ * it runs on the loop's thread.
+ */
+public final class Relay implements Host, UnitLinks.Owner {
+    /** Makes the module that decides. */
+    public interface Maker {
+        Module make(Host host, Settings settings, long seed);
+    }
+
+    private static final Span FIGURES = Span.ofMs(10_000); // seldom enough for a log, often enough for a first look
+
+    private final RelayConfig config;
+    private final Net net;
+    private final Tap tap;
+    private final Events events;
+    private final Ledger ledger;
+    private final Hello mine;
+    private final Chance chance;
+    private final Peers peers;
+    private final DeskLink desk;
+    private final RosterLink roster;
+    private final Set<ClientLink> clients = new LinkedHashSet<>();
+    private Module module;
+    private Net.Listener listener;
+    private long lastRpc;
+    private long turnedAway;
+    private boolean finishing;
+    private Runnable finished;
+
+    /** Nothing is opened yet, see {@link #start}. */
+    public Relay(RelayConfig config, Net net, Tap tap) {
+        this.config = config;
+        this.net = net;
+        this.tap = tap;
+        events = new Events(net);
+        ledger = new Ledger(config.settings);
+        // the doors' dice, apart from the module's, whose draws must not depend on links
+        chance = new Chance(config.seed ^ 0x5bd1e995L);
+        mine = Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.RELAY).setNumber(config.settings.index)
+            .setName(config.name).build();
+        peers = new Peers(net, config, mine, tap, events, chance);
+        desk = new DeskLink(net, config, mine, tap, ledger, events, chance, reply -> module.voteAnswered(reply));
+        roster = new RosterLink(net, config, mine, tap, ledger, events, chance, this, () -> module.listFailed());
+    }
+
+    /**
+     * Listens and links up. On the loop's thread.
+     *
+     * @throws IOException if the address to listen at can't be had
+     */
+    public void start(Maker maker) throws IOException {
+        module = maker.make(this, config.settings, config.seed);
+        ledger.tell(module);
+        listener = net.listen(config.listen, config.clients, config.link.unsent(), () -> {
+            ClientLink client = new ClientLink(this);
+            clients.add(client);
+            return new FrameLink(net, mine, config.link, tap, client);
+        });
+        roster.start();
+        desk.start();
+        events.info(Events.Kind.STARTED, "relay " + config.name + ", number " + config.settings.index + " of "
+            + config.settings.relays + ", listens at " + listener.address());
+        net.at(net.now().plus(FIGURES), this::figures);
+    }
+
+    public InetSocketAddress address() {
+        return listener.address();
+    }
+
+    public Ledger ledger() {
+        return ledger;
+    }
+
+    /** What goes wrong in the program itself is logged here. */
+    public void broken(Throwable why) {
+        events.broken(why);
+    }
+
+    /**
+     * No new RPC is taken; each open one gets its one answer, by its deadline or when the configured time is over. Then
+     * {@code done} runs.
+     */
+    public void finish(Runnable done) {
+        if (finishing) return;
+        finishing = true;
+        finished = done;
+        listener.close();
+        events.info(Events.Kind.FINISHING, ledger.open() + " RPCs are open");
+        net.at(net.now().plus(config.finishWithin), this::abortOpen);
+        lookWhetherDone();
+    }
+
+    private void abortOpen() {
+        // the time that operators allow is over: an abort promises nothing, so it is always true
+        for (ClientLink client : Set.copyOf(clients)) client.abortAll();
+        end();
+    }
+
+    private void lookWhetherDone() {
+        if (ledger.open() == 0) end();
+        else net.at(net.now().plus(Span.ofMs(5)), this::lookWhetherDone);
+    }
+
+    private void end() {
+        if (finished == null) return;
+        Runnable done = finished;
+        finished = null;
+        desk.stop();
+        roster.stop();
+        peers.stop();
+        for (ClientLink client : clients) client.finish();
+        figures();
+        events.info(Events.Kind.FINISHED, "every RPC taken has its answer");
+        net.at(net.now().plus(Span.ofMs(100)), done); // the last answers go out in this turn
+    }
+
+    private void figures() {
+        long taken = 0;
+        long ok = 0;
+        long back = 0;
+        long aborted = 0;
+        long left = 0;
+        long picks = 0;
+        for (Method method : config.settings.methods) {
+            MethodSums sums = ledger.sums(method);
+            taken += sums.taken();
+            ok += sums.ok();
+            back += sums.pushedBackSoFar();
+            aborted += sums.abortedSoFar();
+            left += sums.leftSoFar();
+            picks += sums.picks();
+        }
+        events.info(Events.Kind.FIGURES, "taken " + taken + " ok " + ok + " pushed-back " + back + " aborted " + aborted
+            + " left " + left + " open " + ledger.open() + " picks " + picks + " turned-away " + turnedAway
+            + " peer-messages-dropped " + peers.dropped() + " units " + ledger.units().size() + " clients "
+            + clients.size());
+        if (!finishing) net.at(net.now().plus(FIGURES), this::figures);
+    }
+
+    // What comes in from clients and peers.
+
+    /** An RPC: turned away unseen where a limit is reached, which is safe as it has not run; else the module's. */
+    void called(Asked asked, Call call) {
+        if (call.getMethod() < 0 || call.getMethod() >= config.settings.methods.size()) {
+            asked.client.answer(asked, Ending.ABORTED, 0, 0, ClientLink.NO_BODY);
+            events.warn(Events.Kind.CLIENT_REFUSED, "an RPC of method " + call.getMethod() + ", there are "
+                + config.settings.methods.size() + "; it was aborted");
+            return;
+        }
+        String full = finishing ? "the relay is finishing" : ledger.open() >= config.open ? "limits/open is reached"
+            : asked.client.open() > config.openPerClient ? "limits/open-per-client is reached" : null;
+        if (full != null) {
+            turnedAway++;
+            asked.client.answer(asked, Ending.PUSHED_BACK, 0, 0, ClientLink.NO_BODY);
+            events.warn(Events.Kind.TURNED_AWAY, full);
+            return;
+        }
+        Moment now = net.now();
+        // an unsigned number on the wire: more than a day counts as a day
+        long dayUs = 86_400_000_000L;
+        double left = (Long.compareUnsigned(call.getLeftUs(), dayUs) > 0 ? dayUs : call.getLeftUs()) / 1000.0;
+        Span hint = call.getHintUs() <= 0 ? null : Span.ofMs(call.getHintUs() / 1000.0);
+        asked.rpc = ledger.arrived(++lastRpc, config.settings.methods.get(call.getMethod()), call.getCustomer(),
+            call.getKey(), now, now.plus(Span.ofMs(left)), hint, asked);
+    }
+
+    void left(Asked asked) {
+        ledger.clientLeft(asked.rpc);
+    }
+
+    void flagged(long unit, long agoUs) {
+        ledger.flagged(unit, Span.ofMs(Math.max(0, agoUs) / 1000.0), net.now());
+    }
+
+    void peerTold(int sender, byte[] contents) {
+        if (sender >= 0 && sender < config.settings.relays) module.peerTold(sender, contents);
+    }
+
+    void gone(ClientLink client, boolean peer, String why) {
+        clients.remove(client);
+        if (!why.equals("closed by the other side") && !finishing) {
+            events.warn(Events.Kind.CLIENT_CUT, (peer ? "a relay's" : "a client's") + " connection ended: " + why);
+        }
+    }
+
+    // What the units' connections tell.
+
+    @Override
+    public void open(UnitLink link, InetSocketAddress to) {
+        link.link = new FrameLink(net, mine, config.link, tap, link);
+        net.connect(to, config.connectWithin, config.link.unsent(), link.link);
+    }
+
+    @Override
+    public void ended(Exchange exchange, Outcome outcome, byte[] body) {
+        if (exchange.over) return;
+        exchange.over = true;
+        exchange.end.cancel();
+        Pick pick = exchange.pick;
+        boolean answers = outcome == Outcome.OK && !pick.rpc.ended();
+        if (answers) answer(pick.rpc, Ending.OK, Span.ZERO, pick.unit.id, body);
+        ledger.pickEnded(pick, outcome, net.now().since(pick.sent), answers || pick.rpc.ended());
+    }
+
+    @Override
+    public void endsSoon(Exchange exchange, Outcome outcome) {
+        net.atTurnsEnd(() -> ended(exchange, outcome, ClientLink.NO_BODY));
+    }
+
+    @Override
+    public Timer at(Moment when, Runnable what) {
+        return net.at(when, what);
+    }
+
+    @Override
+    public void lost(Unit unit, String why) {
+        events.warn(Events.Kind.UNIT_LOST, "unit " + unit.id + ": " + why);
+    }
+
+    @Override
+    public void misnamed(Unit unit, Hello other) {
+        events.warn(Events.Kind.UNIT_MISNAMED, "unit " + unit.id + " was connected to, " + other.getRole() + " "
+            + Integer.toUnsignedString(other.getNumber()) + " answered");
+    }
+
+    private void timedOut(Exchange exchange) {
+        if (exchange.over) return;
+        boolean never = links(exchange).giveUp(exchange, false); // its unit was told how long it is waited for
+        ended(exchange, never ? Outcome.MOOT : Outcome.TIMED_OUT, ClientLink.NO_BODY);
+    }
+
+    private static UnitLinks links(Exchange exchange) {
+        return (UnitLinks) exchange.pick.unit.door;
+    }
+
+    private void answer(Rpc rpc, Ending ending, Span wait, long unit, byte[] body) {
+        Asked asked = (Asked) rpc.door;
+        asked.client.answer(asked, ending, (long) (wait.ms() * 1000), unit, body);
+    }
+
+    // What the module does.
+
+    @Override
+    public Moment now() {
+        return net.now();
+    }
+
+    @Override
+    public void send(Pick pick) {
+        ledger.sent(pick);
+        Exchange exchange = new Exchange(pick);
+        pick.door = exchange;
+        Moment now = net.now();
+        Moment until = pick.patience == null ? pick.rpc.deadline : pick.rpc.deadline.earlier(now.plus(pick.patience));
+        exchange.end = net.at(until, () -> timedOut(exchange));
+        boolean moot = pick.rpc.ended() || !until.after(now) || pick.rpc.picks.size() > config.settings.maxPicks;
+        if (moot) endsSoon(exchange, Outcome.MOOT);
+        else links(exchange).send(exchange);
+    }
+
+    @Override
+    public void cancel(Pick pick) {
+        Exchange exchange = (Exchange) pick.door;
+        if (exchange.over) return;
+        boolean never = links(exchange).giveUp(exchange, true);
+        endsSoon(exchange, never ? Outcome.MOOT : Outcome.CANCELLED);
+    }
+
+    @Override
+    public void pushBack(Rpc rpc, Span wait) {
+        answer(rpc, Ending.PUSHED_BACK, wait, 0, ClientLink.NO_BODY);
+        ledger.pushedBack(rpc);
+    }
+
+    @Override
+    public void abort(Rpc rpc) {
+        answer(rpc, Ending.ABORTED, Span.ZERO, 0, ClientLink.NO_BODY);
+        ledger.aborted(rpc);
+    }
+
+    @Override
+    public void wake(Moment when, Runnable what) {
+        net.at(when, what);
+    }
+
+    @Override
+    public void vote(Build build, int stage, Verdict verdict) {
+        desk.vote(build, stage, verdict);
+    }
+
+    @Override
+    public void tellPeers(byte[] contents) {
+        peers.tellAll(contents);
+    }
+
+    @Override
+    public void tellPeer(int relay, byte[] contents) {
+        peers.tell(relay, contents);
+    }
+
+    @Override
+    public void subscribe() {
+        roster.subscribe();
+    }
+
+    @Override
+    public void log(String line) {
+        events.info(Events.Kind.MODULE, line);
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/relay/RosterLink.java
@@ -0,0 +1,166 @@
+package sprucerock.relay;
+
+import com.google.protobuf.MessageLite;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import sprucerock.config.Address;
+import sprucerock.config.RelayConfig;
+import sprucerock.ledger.Ledger;
+import sprucerock.model.Unit;
+import sprucerock.net.Net;
+import sprucerock.stats.Chance;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+import sprucerock.wire.FrameLink;
+import sprucerock.wire.FrameUser;
+import sprucerock.wire.Kind;
+import sprucerock.wire.Redial;
+import sprucerock.wire.Tap;
+import sprucerock.wire.v1.Entry;
+import sprucerock.wire.v1.Form;
+import sprucerock.wire.v1.Health;
+import sprucerock.wire.v1.Hello;
+import sprucerock.wire.v1.Listing;
+import sprucerock.wire.v1.Role;
+import sprucerock.wire.v1.Watch;
+
+/** What the roster says of the units, told to the ledger; and each unit's connections. */
+final class RosterLink implements FrameUser {
+    /** A run of a unit's process, by the roster's number for it, with the one start time that it keeps here. */
+    private record Run(long number, Moment started) {}
+
+    private final Net net;
+    private final RelayConfig config;
+    private final Ledger ledger;
+    private final Events events;
+    private final UnitLinks.Owner owner;
+    private final Chance chance;
+    private final Runnable listFailed;
+    private final Redial redial;
+    private final Map<Long, Run> runs = new HashMap<>();
+    private boolean asked;
+    private boolean stopping;
+
+    RosterLink(Net net, RelayConfig config, Hello mine, Tap tap, Ledger ledger, Events events, Chance chance,
+        UnitLinks.Owner owner, Runnable listFailed) {
+        this.net = net;
+        this.config = config;
+        this.ledger = ledger;
+        this.events = events;
+        this.owner = owner;
+        this.chance = chance;
+        this.listFailed = listFailed;
+        redial = new Redial(net, config.roster, mine, config.link, tap, chance, this);
+    }
+
+    void start() {
+        redial.dial();
+    }
+
+    void stop() {
+        stopping = true;
+        redial.stop();
+    }
+
+    /** The module asks for the list and its changes; where the roster is away, it is told so. */
+    void subscribe() {
+        if (redial.send(Kind.WATCH, Watch.getDefaultInstance(), ClientLink.NO_BODY)) asked = true;
+        else net.atTurnsEnd(listFailed);
+    }
+
+    @Override
+    public void greeted(FrameLink link, Hello other) {
+        if (other.getRole() != Role.ROSTER) {
+            redial.cut("no roster answers there");
+            return;
+        }
+        events.info(Events.Kind.ROSTER_BACK, "linked to the roster at " + config.roster);
+        if (!config.settings.ask) redial.send(Kind.WATCH, Watch.getDefaultInstance(), ClientLink.NO_BODY);
+    }
+
+    @Override
+    public void frame(Kind kind, MessageLite head, byte[] body) {
+        if (kind != Kind.LISTING) {
+            redial.cut("a roster sends no " + kind);
+            return;
+        }
+        Listing listing = (Listing) head;
+        if (listing.getForm() == Form.FAILED) {
+            failed();
+            return;
+        }
+        if (listing.getForm() != Form.WHOLE && listing.getForm() != Form.CHANGES) {
+            events.warn(Events.Kind.LISTING_REFUSED, "a listing that is neither whole nor changes; the old one holds");
+            return;
+        }
+        asked = false;
+        Set<Long> named = new HashSet<>();
+        for (Entry entry : listing.getEntriesList()) {
+            named.add(entry.getUnit());
+            take(entry);
+        }
+        if (listing.getForm() == Form.WHOLE) {
+            for (Unit unit : ledger.units()) if (!named.contains(unit.id)) removed(unit);
+        }
+    }
+
+    private void failed() {
+        if (!asked) return;
+        asked = false;
+        listFailed.run();
+    }
+
+    private void take(Entry entry) {
+        Unit known = ledger.unit(entry.getUnit());
+        if (entry.getHealth() == Health.GONE) {
+            if (known != null) removed(known);
+            return;
+        }
+        InetSocketAddress address = Address.of(entry.getHost(), entry.getPort());
+        String wrong = entry.getHealth() != Health.READY && entry.getHealth() != Health.DRAINING ? "no known health"
+            : address == null || entry.getPort() == 0 ? "no address to connect to"
+            : entry.getBuild() >>> 16 != 0 ? "a build over 65535"
+            : !(entry.getWeight() > 0) || entry.getWeight() > 1e6 ? "a weight that is not above 0"
+            : known == null && runs.size() >= config.units ? "more units than limits/units allows"
+            : entry.getUnit() >>> 32 != 0 ? "an id of 2^32 or more" : null;
+        if (wrong != null) {
+            events.warn(Events.Kind.LISTING_REFUSED, "unit " + Long.toUnsignedString(entry.getUnit()) + " has "
+                + wrong + "; the entry is left out");
+            return;
+        }
+        Run run = runs.get(entry.getUnit());
+        if (run == null || run.number != entry.getRun()) {
+            // its age is told anew with each listing, late by the way here: the first one told is kept
+            Span age = Span.ofMs(entry.getAgeUs() / 1000.0);
+            run = new Run(entry.getRun(), entry.getAgeUs() == 0 ? null : net.now().minus(age));
+            runs.put(entry.getUnit(), run);
+        }
+        boolean sameRun = known != null && known.sameRun(entry.getBuild(), run.started);
+        boolean moved = sameRun && known.door != null && !((UnitLinks) known.door).at(address);
+        if (known != null && (!sameRun || moved)) leave(known);
+        if (moved) ledger.removed(known.id);
+        Unit unit = ledger.listed(entry.getUnit(), entry.getZone(), entry.getKind(), entry.getCell(), entry.getBuild(),
+            run.started, entry.getWeight(), entry.getHealth() == Health.READY);
+        if (unit.door == null) unit.door = new UnitLinks(unit, address, config, chance, owner);
+        if (entry.getHealth() == Health.DRAINING) leave(unit);
+    }
+
+    private void removed(Unit unit) {
+        runs.remove(unit.id);
+        ledger.removed(unit.id);
+        leave(unit);
+    }
+
+    private static void leave(Unit unit) {
+        if (unit.door != null) ((UnitLinks) unit.door).leave();
+    }
+
+    @Override
+    public void closed(String why) {
+        if (!stopping) events.warn(Events.Kind.ROSTER_LOST, why + "; the units listed last hold");
+        failed();
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/relay/UnitLinks.java
@@ -0,0 +1,177 @@
+package sprucerock.relay;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import sprucerock.config.RelayConfig;
+import sprucerock.model.Outcome;
+import sprucerock.model.Unit;
+import sprucerock.stats.Chance;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+import sprucerock.wire.FrameLink;
+import sprucerock.wire.v1.Hello;
+
+/**
+ * The connections to one unit. They are made as picks need them, up to a number; a pick that finds none with room waits
+ * for one, for as long as a connection may take. After a connection failed none is tried for a pause that grows: picks
+ * end at once as never connected. Which unit gets a pick is none of its business.
+ */
+final class UnitLinks {
+    /** What the links need of the relay. */
+    interface Owner {
+        void open(UnitLink link, InetSocketAddress to);
+
+        void ended(Exchange exchange, Outcome outcome, byte[] body);
+
+        /** The same, but told once the module has returned from what it does now. */
+        void endsSoon(Exchange exchange, Outcome outcome);
+
+        Moment now();
+
+        sprucerock.net.Timers.Timer at(Moment when, Runnable what);
+
+        void lost(Unit unit, String why);
+
+        void misnamed(Unit unit, Hello other);
+    }
+
+    final Unit unit;
+    private final InetSocketAddress address;
+    private final RelayConfig config;
+    private final Owner owner;
+    private final Chance chance;
+    private final List<UnitLink> links = new ArrayList<>();
+    private final ArrayDeque<Exchange> waiting = new ArrayDeque<>();
+    private Span pause;
+    private Moment notBefore;
+    private boolean left;
+
+    UnitLinks(Unit unit, InetSocketAddress address, RelayConfig config, Chance chance, Owner owner) {
+        this.unit = unit;
+        this.address = address;
+        this.config = config;
+        this.chance = chance;
+        this.owner = owner;
+        pause = config.pauseFirst;
+    }
+
+    boolean at(InetSocketAddress there) {
+        return address.equals(there);
+    }
+
+    void send(Exchange exchange) {
+        UnitLink best = null;
+        int connecting = 0;
+        for (UnitLink link : links) {
+            if (link.retired) continue;
+            if (!link.greeted) connecting++;
+            else if (link.load() < config.picksEach && (best == null || link.load() < best.load())) best = link;
+        }
+        if (best != null) {
+            best.send(exchange, owner.now());
+            return;
+        }
+        Moment now = owner.now();
+        boolean paused = notBefore != null && notBefore.after(now);
+        boolean more = links.size() < config.connectionsPerUnit && !paused;
+        if (waiting.size() >= config.waitingPerUnit || paused && links.isEmpty()) {
+            owner.endsSoon(exchange, Outcome.NOT_CONNECTED);
+            return;
+        }
+        waiting.add(exchange);
+        exchange.waiting = owner.at(now.plus(config.connectWithin), () -> {
+            if (waiting.remove(exchange)) owner.ended(exchange, Outcome.NOT_CONNECTED, new byte[0]);
+        });
+        if (more && connecting * config.picksEach < waiting.size()) open(now);
+    }
+
+    private void open(Moment now) {
+        UnitLink link = new UnitLink(this, now);
+        links.add(link);
+        owner.open(link, address);
+    }
+
+    void up(UnitLink link) {
+        pause = config.pauseFirst;
+        notBefore = null;
+        drain(link);
+        owner.at(owner.now().plus(config.idle), () -> closeIdle(link));
+    }
+
+    private void drain(UnitLink link) {
+        while (!waiting.isEmpty() && !link.retired && link.greeted && link.load() < config.picksEach) {
+            Exchange next = waiting.poll();
+            next.waiting.cancel();
+            link.send(next, owner.now());
+        }
+    }
+
+    private void closeIdle(UnitLink link) {
+        if (!links.contains(link)) return;
+        Span unused = owner.now().since(link.usedLast);
+        if (link.idle() && !config.idle.over(unused)) link.link.finish();
+        else owner.at(owner.now().plus(config.idle), () -> closeIdle(link));
+    }
+
+    /** A pick on it ended: there is room, or a unit that leaves is done with. */
+    void emptied(UnitLink link) {
+        // a unit that answers nothing fills its connection with picks that nobody waits for: another is made
+        boolean stuck = link.idle() && 2 * link.load() >= config.picksEach;
+        if ((left || link.retired) && link.idle() || stuck) link.link.finish();
+        link.retired |= stuck;
+        drain(link);
+    }
+
+    void down(UnitLink link, String why) {
+        links.remove(link);
+        if (left) return;
+        if (!link.greeted || !link.idle()) owner.lost(unit, why);
+        if (link.greeted && link.idle()) { // closed in good order
+            if (!waiting.isEmpty() && links.isEmpty()) open(owner.now());
+            return;
+        }
+        Moment now = owner.now();
+        notBefore = now.plus(pause.times(0.5 + 0.5 * chance.next()));
+        pause = pause.times(2).atMost(config.pauseMost);
+        boolean hope = links.stream().anyMatch(other -> !other.retired);
+        while (!hope && !waiting.isEmpty()) {
+            Exchange next = waiting.poll();
+            next.waiting.cancel();
+            owner.endsSoon(next, Outcome.NOT_CONNECTED);
+        }
+    }
+
+    void misnamed(Hello other) {
+        owner.misnamed(unit, other);
+    }
+
+    void ended(Exchange exchange, Outcome outcome, byte[] body) {
+        owner.ended(exchange, outcome, body);
+    }
+
+    /** Called off, or out of time: whoever called says with which outcome it ends. True where it was never sent. */
+    boolean giveUp(Exchange exchange, boolean tellUnit) {
+        if (exchange.link != null) {
+            exchange.link.forsake(exchange, tellUnit);
+            return false;
+        }
+        waiting.remove(exchange);
+        if (exchange.waiting != null) exchange.waiting.cancel();
+        return true;
+    }
+
+    /** The unit drains, is gone or became another: what is out ends as it may, then the connections close. */
+    void leave() {
+        left = true;
+        while (!waiting.isEmpty()) { // not sent yet, so not to be sent any more
+            Exchange next = waiting.poll();
+            next.waiting.cancel();
+            owner.endsSoon(next, Outcome.NOT_CONNECTED);
+        }
+        for (UnitLink link : new ArrayList<>(links)) {
+            if (link.idle()) link.link.finish();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/standin/SwitchStandIn.java
@@ -0,0 +1,102 @@
+package sprucerock.standin;
+
+import com.google.protobuf.MessageLite;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import sprucerock.net.Net;
+import sprucerock.stats.Chance;
+import sprucerock.time.Span;
+import sprucerock.trace.TraceWriter;
+import sprucerock.wire.FrameLink;
+import sprucerock.wire.FrameUser;
+import sprucerock.wire.Kind;
+import sprucerock.wire.Limits;
+import sprucerock.wire.Redial;
+import sprucerock.wire.v1.Hello;
+import sprucerock.wire.v1.Role;
+
+/** Stands between the relays: what one tells another passes here, late or never. */
+public final class SwitchStandIn {
+    private final Net net;
+    private final TraceWriter trace;
+    private final Limits limits;
+    private final SplittableRandom chance;
+    private final Chance pauses;
+    private final Map<Integer, InetSocketAddress> relays = new HashMap<>();
+    private final Map<Long, Redial> onward = new HashMap<>();
+    private double lost;
+    private Span delay = Span.ofMs(1);
+
+    public SwitchStandIn(Net net, TraceWriter trace, Limits limits, long seed) {
+        this.net = net;
+        this.trace = trace;
+        this.limits = limits;
+        chance = new SplittableRandom(seed);
+        pauses = new Chance(seed);
+    }
+
+    /** Opens a port for messages to a relay that is at an address. */
+    public int port(int relay, InetSocketAddress at) throws IOException {
+        relays.put(relay, at);
+        return net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1000, limits.unsent(), () -> {
+            From from = new From(relay);
+            from.link = new FrameLink(net, hello(relay), limits, trace, from);
+            return from.link;
+        }).address().getPort();
+    }
+
+    private static Hello hello(int relay) {
+        return Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.RELAY).setNumber(relay).setName("switch").build();
+    }
+
+    /** This share of all messages is lost from now on. */
+    public void lose(double share) {
+        lost = share;
+    }
+
+    public void delay(Span each) {
+        delay = each;
+    }
+
+    private final class From implements FrameUser {
+        private final int to;
+        private FrameLink link;
+
+        From(int to) {
+            this.to = to;
+        }
+
+        @Override
+        public void greeted(FrameLink made, Hello other) {}
+
+        @Override
+        public void frame(Kind kind, MessageLite head, byte[] body) {
+            if (kind != Kind.TOLD || chance.nextDouble() < lost) return;
+            int sender = link.other().getNumber();
+            Redial way = onward.computeIfAbsent((long) sender << 32 | to, key -> {
+                Redial made = new Redial(net, relays.get(to), hello(sender), limits, trace, pauses, new Deaf());
+                made.dial();
+                return made;
+            });
+            net.at(net.now().plus(delay), () -> way.send(kind, head, body));
+        }
+
+        @Override
+        public void closed(String why) {}
+    }
+
+    private static final class Deaf implements FrameUser {
+        @Override
+        public void greeted(FrameLink made, Hello other) {}
+
+        @Override
+        public void frame(Kind kind, MessageLite head, byte[] body) {}
+
+        @Override
+        public void closed(String why) {}
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/standin/UnitStandIn.java
@@ -0,0 +1,397 @@
+package sprucerock.standin;
+
+import com.google.protobuf.MessageLite;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import sprucerock.net.Net;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+import sprucerock.trace.TraceWriter;
+import sprucerock.wire.FrameLink;
+import sprucerock.wire.FrameUser;
+import sprucerock.wire.Kind;
+import sprucerock.wire.Limits;
+import sprucerock.wire.v1.Done;
+import sprucerock.wire.v1.Hello;
+import sprucerock.wire.v1.Result;
+import sprucerock.wire.v1.Role;
+import sprucerock.wire.v1.Stop;
+import sprucerock.wire.v1.Work;
+
+/**
+ * A unit: cores that work off a queue, cold after a start, with faults on command. Notes in the trace what took effect.
+ * Pushed past what a cold one bears it falls over and stays down.
+ */
+public final class UnitStandIn {
+    /** Who wants to know how picks end, such as the release desk for its counts. */
+    public interface Ear {
+        void ended(int build, int method, boolean ok, Span took);
+    }
+
+    private static final byte[] NO_BODY = {};
+    private static final int QUEUE_PER_CORE = 32;
+    /** In an answer's body, in place of its last byte: it is wrong. */
+    public static final byte WRONG = (byte) 0xEE;
+
+    public final int id;
+    public final int build;
+    public final int zone;
+    public final int cores;
+    public final double speed;
+    private final BuildFault fault;
+    private final Site site;
+    private final Shared shared;
+    private final Net net;
+    private final TraceWriter trace;
+    private final Limits limits;
+    private final SplittableRandom chance;
+    private final Ear ear;
+    private final Set<Session> sessions = new LinkedHashSet<>();
+    private final ArrayDeque<Job> queue = new ArrayDeque<>();
+    private final ArrayDeque<double[]> pressure = new ArrayDeque<>();
+    private Net.Listener listener;
+    private int port;
+    private long run;
+    private Moment started;
+    private boolean bornCold;
+    private int busy;
+    private boolean down = true;
+    private boolean fallen;
+
+    private boolean draining;
+    private boolean hangs;
+    private boolean losesAnswers;
+    private boolean rubbish;
+    private double fails;
+    private double slow = 1;
+    private double stolen;
+    private boolean paused;
+    private int mostConnections = Integer.MAX_VALUE;
+    private Span linkDelay = Span.ZERO;
+
+    public UnitStandIn(Net net, TraceWriter trace, Limits limits, int id, int build, int zone, int cores, double speed,
+        BuildFault fault, Site site, Shared shared, Ear ear, long seed) {
+        this.net = net;
+        this.trace = trace;
+        this.limits = limits;
+        this.id = id;
+        this.build = build;
+        this.zone = zone;
+        this.cores = cores;
+        this.speed = speed;
+        this.fault = fault;
+        this.site = site;
+        this.shared = shared;
+        this.ear = ear;
+        chance = new SplittableRandom(seed);
+    }
+
+    /** Begins a run of its process; the first listens where the system has room, later ones there again. */
+    public void start(boolean cold) throws IOException {
+        if (fallen) return;
+        run++;
+        started = net.now();
+        bornCold = cold;
+        down = false;
+        draining = false;
+        listener = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 10_000, limits.unsent(),
+            this::session);
+        port = listener.address().getPort();
+        if (cold) {
+            trace.note("START", "unit=" + id + " run=" + run + " capacity=" + cores * speed + " from=" + site.cold().from()
+                + " lasts_us=" + (long) (site.cold().lasts().ms() * 1000));
+        }
+    }
+
+    /** The process ends at once, with all that it held. */
+    public void kill() {
+        if (down) return;
+        down = true;
+        listener.close();
+        queue.clear();
+        busy = 0;
+        generation++;
+        for (Session session : new ArrayList<>(sessions)) session.link.cut("the unit's process ended");
+    }
+
+    private int generation;
+
+    public int port() {
+        return port;
+    }
+
+    public long run() {
+        return run;
+    }
+
+    public boolean isDown() {
+        return down;
+    }
+
+    public boolean hasFallen() {
+        return fallen;
+    }
+
+    /** Since when its process runs; null where it counts as long ago. */
+    public Moment startedCold() {
+        return bornCold ? started : null;
+    }
+
+    // Faults on command.
+
+    public void drain() {
+        draining = true;
+    }
+
+    public boolean isDraining() {
+        return draining;
+    }
+
+    public void hang(boolean on) {
+        hangs = on;
+        if (!on) pump();
+    }
+
+    public void loseAnswers(boolean on) {
+        losesAnswers = on;
+    }
+
+    /** Answers with bytes that are not the protocol. */
+    public void rubbish(boolean on) {
+        rubbish = on;
+    }
+
+    public void fail(double share) {
+        fails = share;
+    }
+
+    public void slow(double times) {
+        slow = times;
+    }
+
+    /** Another program takes this share of the machine. */
+    public void steal(double share) {
+        stolen = share;
+    }
+
+    public void pause(boolean on) {
+        paused = on;
+        if (!on) pump();
+    }
+
+    public void connections(int most) {
+        mostConnections = most;
+        while (sessions.size() > most) {
+            Session last = sessions.iterator().next();
+            sessions.remove(last);
+            last.link.cut("no connections left");
+        }
+    }
+
+    public void linkDelay(Span oneWay) {
+        linkDelay = oneWay;
+    }
+
+    private FrameLink session() {
+        Session session = new Session();
+        session.link = new FrameLink(net, Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.UNIT).setNumber(id)
+            .setName("unit-" + id).build(), limits, trace, session);
+        return session.link;
+    }
+
+    private static final class Job {
+        Session session;
+        Work work;
+        byte[] body;
+        double costMs;
+        Moment came;
+        boolean stopped;
+    }
+
+    private final class Session implements FrameUser {
+        private FrameLink link;
+        private final Map<Long, Job> jobs = new HashMap<>();
+
+        @Override
+        public void greeted(FrameLink made, Hello other) {
+            if (sessions.size() >= mostConnections) {
+                made.cut("no connections left");
+                return;
+            }
+            sessions.add(this);
+        }
+
+        @Override
+        public void frame(Kind kind, MessageLite head, byte[] body) {
+            if (linkDelay.over(Span.ZERO)) net.at(net.now().plus(linkDelay), () -> take(kind, head, body));
+            else take(kind, head, body);
+        }
+
+        private void take(Kind kind, MessageLite head, byte[] body) {
+            if (down) return;
+            if (kind == Kind.WORK) {
+                Job job = new Job();
+                job.session = this;
+                job.work = (Work) head;
+                job.body = body;
+                job.came = net.now();
+                jobs.put(job.work.getId(), job);
+                UnitStandIn.this.take(job);
+            } else if (kind == Kind.STOP) {
+                Job job = jobs.get(((Stop) head).getId());
+                if (job != null) job.stopped = true; // dropped if it still waits; running work goes on
+            } else {
+                link.cut("a unit takes no " + kind);
+            }
+        }
+
+        @Override
+        public void closed(String why) {
+            sessions.remove(this);
+        }
+    }
+
+    private void take(Job job) {
+        int index = job.work.getMethod();
+        if (index >= site.methods().size()) {
+            reply(job, Result.ERROR, NO_BODY);
+            return;
+        }
+        Site.Method method = site.methods().get(index);
+        // exponential, cut at five means so that no single RPC fills a day
+        job.costMs = method.workMs() * Math.min(5, -Math.log(1 - chance.nextDouble()));
+        bear(job);
+        if (down) return;
+        boolean full = draining || queue.size() >= QUEUE_PER_CORE * cores;
+        if (full) {
+            reply(job, Result.FULL, NO_BODY);
+            return;
+        }
+        queue.add(job);
+        pump();
+    }
+
+    /** All work that reaches a cold unit adds pressure, also what it turns away. */
+    private void bear(Job job) {
+        if (!bornCold || capacityShare() >= 1) return;
+        trace.note("TAKEN", "unit=" + id + " run=" + run + " by=" + job.session.link.other().getNumber() + " cost_us="
+            + (long) (job.costMs * 1000));
+        Moment now = net.now();
+        Span over = site.cold().tipAfter();
+        pressure.add(new double[] {now.ms(), job.costMs});
+        while (pressure.peek()[0] < now.minus(over).ms()) pressure.poll();
+        double sum = pressure.stream().mapToDouble(one -> one[1]).sum();
+        // one long RPC alone is chance, not pressure
+        double can = site.cold().tipMultiple() * capacityShare() * cores * speed * over.ms() + 5 * job.costMs;
+        if (sum > can) {
+            fallen = true;
+            trace.note("FELL", "unit=" + id + " run=" + run);
+            kill();
+        }
+    }
+
+    private double capacityShare() {
+        if (!bornCold) return 1;
+        double age = net.now().since(started).per(site.cold().lasts());
+        return Math.min(1, site.cold().from() + (1 - site.cold().from()) * age);
+    }
+
+    private void pump() {
+        while (!down && !hangs && !paused && busy < cores && !queue.isEmpty()) {
+            Job job = queue.poll();
+            Moment now = net.now();
+            boolean overdue = now.since(job.came).ms() * 1000 > job.work.getLeftUs();
+            if (job.stopped || overdue) {
+                job.session.jobs.remove(job.work.getId());
+                continue; // nobody waits for it; never begun
+            }
+            busy++;
+            shared.begins(fault, now);
+            double factor = slow * shared.slowness(job.work.getMethod(), now) * buildFactor();
+            Span takes = Span.ofMs(job.costMs * factor / (speed * capacityShare() * (1 - stolen)));
+            int current = generation;
+            net.at(now.plus(takes), () -> {
+                if (current == generation) done(job);
+            });
+        }
+    }
+
+    private double buildFactor() {
+        return switch (fault.what()) {
+            case SLOW -> fault.amount();
+            case LOAD -> overLoad() ? 3 : 1;
+            case LATE -> late() ? 3 : 1;
+            default -> 1;
+        };
+    }
+
+    private boolean overLoad() {
+        return (busy + queue.size()) >= Math.max(1, fault.amount() * cores);
+    }
+
+    private boolean late() {
+        return net.now().since(started).ms() > fault.amount() * 1000;
+    }
+
+    private double buildFails(int method) {
+        return switch (fault.what()) {
+            case ERRORS -> fault.amount();
+            case METHOD -> method == fault.method() ? fault.amount() : 0;
+            case LOAD -> overLoad() ? 0.3 : 0;
+            case LATE -> late() ? 0.3 : 0;
+            default -> 0;
+        };
+    }
+
+    private void done(Job job) {
+        busy--;
+        Site.Method method = site.methods().get(job.work.getMethod());
+        Moment now = net.now();
+        if (hangs) { // it stands still with what it was at
+            queue.addFirst(job);
+            return;
+        }
+        boolean failed = chance.nextDouble() < Math.max(fails, buildFails(job.work.getMethod()));
+        ear.ended(build, job.work.getMethod(), !failed, now.since(job.came));
+        if (!failed && method.effect() != Site.Effect.IDEMPOTENT) {
+            boolean tokened = method.effect() == Site.Effect.TOKENED;
+            boolean first = !tokened || shared.firstEffect(job.work.getToken(), method.window(), now);
+            trace.note(first ? "EFFECT" : "REPEAT_DROPPED", "unit=" + id + " method=" + job.work.getMethod() + " body="
+                + java.util.HexFormat.of().formatHex(job.body, 0, Math.min(16, job.body.length)));
+        }
+        if (failed) {
+            reply(job, Result.ERROR, NO_BODY);
+        } else {
+            byte[] answer = job.body.clone();
+            boolean wrong = fault.what() == BuildFault.What.WRONG && chance.nextDouble() < fault.amount();
+            if (wrong && answer.length > 0) answer[answer.length - 1] = WRONG;
+            reply(job, Result.DONE, answer);
+        }
+        pump();
+    }
+
+    private void reply(Job job, Result result, byte[] body) {
+        job.session.jobs.remove(job.work.getId());
+        if (losesAnswers) return;
+        Done done = Done.newBuilder().setId(job.work.getId()).setResult(result).build();
+        Runnable send = () -> {
+            if (rubbish) job.session.link.send(Kind.WORK, job.work, body); // what a unit never sends
+            else job.session.link.send(Kind.DONE, done, body);
+        };
+        if (linkDelay.over(Span.ZERO)) net.at(net.now().plus(linkDelay), send);
+        else send.run();
+    }
+
+    /** Picks that it holds, for a look from outside. */
+    public int held() {
+        return queue.size() + busy;
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/wire/FrameUser.java
@@ -0,0 +1,16 @@
+package sprucerock.wire;
+
+import com.google.protobuf.MessageLite;
+import sprucerock.wire.v1.Hello;
+
+/** Who talks over a {@link FrameLink}. */
+public interface FrameUser {
+    /** The other side said who it is, in this protocol's version; frames may be sent. A cut refuses it. */
+    void greeted(FrameLink link, Hello other);
+
+    /** A frame other than greetings and beats. One that has no place here is answered with a cut. */
+    void frame(Kind kind, MessageLite head, byte[] body);
+
+    /** The link is gone, or never came up; told once. */
+    void closed(String why);
+}
--- /dev/null
+++ b/src/main/java/sprucerock/wire/Redial.java
@@ -0,0 +1,87 @@
+package sprucerock.wire;
+
+import com.google.protobuf.MessageLite;
+import java.net.InetSocketAddress;
+import sprucerock.net.Net;
+import sprucerock.stats.Chance;
+import sprucerock.time.Span;
+import sprucerock.wire.v1.Hello;
+
+/** Keeps a link to one address: whenever it is gone, another is made, after a pause that grows and is drawn. */
+public final class Redial implements FrameUser {
+    private static final Span FIRST = Span.ofMs(50); // a restart on the same machine takes about a second
+    private static final Span MOST = Span.ofMs(2000); // what comes back is known again within this
+    private static final Span CONNECT = Span.ofMs(1000);
+
+    private final Net net;
+    private final InetSocketAddress to;
+    private final Hello mine;
+    private final Limits limits;
+    private final Tap tap;
+    private final Chance chance;
+    private final FrameUser user;
+    private FrameLink link;
+    private Span pause = FIRST;
+    private boolean stopped;
+
+    public Redial(Net net, InetSocketAddress to, Hello mine, Limits limits, Tap tap, Chance chance, FrameUser user) {
+        this.net = net;
+        this.to = to;
+        this.mine = mine;
+        this.limits = limits;
+        this.tap = tap;
+        this.chance = chance;
+        this.user = user;
+    }
+
+    public void dial() {
+        if (stopped) return;
+        link = new FrameLink(net, mine, limits, tap, this);
+        net.connect(to, CONNECT, limits.unsent(), link);
+    }
+
+    public boolean usable() {
+        return link != null && link.usable();
+    }
+
+    public long unsent() {
+        return link.unsent();
+    }
+
+    /** Sends if the link is there; false where it is not. */
+    public boolean send(Kind kind, MessageLite head, byte[] body) {
+        if (!usable()) return false;
+        link.send(kind, head, body);
+        return true;
+    }
+
+    /** Closes, and stays closed. */
+    public void stop() {
+        stopped = true;
+        if (link != null) link.finish();
+    }
+
+    public void cut(String why) {
+        link.cut(why);
+    }
+
+    @Override
+    public void greeted(FrameLink made, Hello other) {
+        pause = FIRST;
+        user.greeted(made, other);
+    }
+
+    @Override
+    public void frame(Kind kind, MessageLite head, byte[] body) {
+        user.frame(kind, head, body);
+    }
+
+    @Override
+    public void closed(String why) {
+        user.closed(why);
+        if (stopped) return;
+        // from half to all of it: hundreds that lost the same one don't come back together
+        net.at(net.now().plus(pause.times(0.5 + 0.5 * chance.next())), this::dial);
+        pause = pause.times(2).atMost(MOST);
+    }
+}
