--- a/src/main/antlr4/sprucerock/rehearsal/Day.g4
+++ b/src/main/antlr4/sprucerock/rehearsal/Day.g4
@@ -33,12 +33,9 @@
 
 trouble
   : 'offer' ('good' | 'bad' fault)                                                          # offer
-  | 'unit' INT fate                                                                         # unitFate
-  | 'unit' INT ill 'for' SPAN                                                               # unitIll
+  | 'unit' INT (fate | ill 'for' SPAN)                                                       # unit
   | 'units' PERCENT ill 'for' SPAN                                                          # unitsIll
-  | 'relay' INT ('killed' | 'stopped') 'for' SPAN                                           # relayDown
-  | 'relay' INT 'stalls' 'for' SPAN                                                         # relayStalls
-  | 'relay' INT 'busy' 'times' number 'for' SPAN                                            # relayBusy
+  | 'relay' INT (how=('killed' | 'stopped' | 'stalls') | 'busy' 'times' number) 'for' SPAN   # relay
   | 'traffic' 'times' number 'for' SPAN                                                     # burst
   | 'customer' NAME 'times' number 'for' SPAN                                               # customerBurst
   | 'everything' 'slow' 'times' number 'for' SPAN                                           # everythingSlow
--- a/src/main/java/sprucerock/rehearsal/Script.java
+++ b/src/main/java/sprucerock/rehearsal/Script.java
@@ -417,8 +417,12 @@
         }
 
         @Override
-        public Void visitUnitFate(DayParser.UnitFateContext c) {
+        public Void visitUnit(DayParser.UnitContext c) {
             int unit = unit(c.INT().getSymbol());
+            if (c.ill() != null) {
+                Play.Ill ill = ill(c.ill());
+                return lasting(c.SPAN().getSymbol(), play -> play.ill(unit, ill, true), play -> play.ill(unit, ill, false));
+            }
             DayParser.FateContext fate = c.fate();
             Span within = fate.SPAN() == null ? Span.ZERO : span(fate.SPAN().getSymbol());
             return switch (fate.getStart().getText()) {
@@ -428,13 +432,6 @@
             };
         }
 
-        @Override
-        public Void visitUnitIll(DayParser.UnitIllContext c) {
-            int unit = unit(c.INT().getSymbol());
-            Play.Ill ill = ill(c.ill());
-            return lasting(c.SPAN().getSymbol(), play -> play.ill(unit, ill, true), play -> play.ill(unit, ill, false));
-        }
-
         @Override
         public Void visitUnitsIll(DayParser.UnitsIllContext c) {
             double share = share(c.PERCENT().getSymbol());
@@ -473,23 +470,18 @@
         }
 
         @Override
-        public Void visitRelayDown(DayParser.RelayDownContext c) {
+        public Void visitRelay(DayParser.RelayContext c) {
             int relay = relay(c.INT().getSymbol());
-            boolean killed = c.getChild(2).getText().equals("killed");
-            return lasting(c.SPAN().getSymbol(), play -> play.relayDown(relay, killed), play -> play.relayUp(relay));
-        }
-
-        @Override
-        public Void visitRelayStalls(DayParser.RelayStallsContext c) {
-            int relay = relay(c.INT().getSymbol());
-            return lasting(c.SPAN().getSymbol(), play -> play.relayStalls(relay, true), play -> play.relayStalls(relay, false));
-        }
-
-        @Override
-        public Void visitRelayBusy(DayParser.RelayBusyContext c) {
-            int relay = relay(c.INT().getSymbol());
-            double times = factor(c.number());
-            return lasting(c.SPAN().getSymbol(), play -> play.relayBusy(relay, times), play -> play.relayBusy(relay, 1));
+            Token length = c.SPAN().getSymbol();
+            if (c.how == null) {
+                double times = factor(c.number());
+                return lasting(length, play -> play.relayBusy(relay, times), play -> play.relayBusy(relay, 1));
+            }
+            return switch (c.how.getText()) {
+                case "killed" -> lasting(length, play -> play.relayDown(relay, true), play -> play.relayUp(relay));
+                case "stopped" -> lasting(length, play -> play.relayDown(relay, false), play -> play.relayUp(relay));
+                default -> lasting(length, play -> play.relayStalls(relay, true), play -> play.relayStalls(relay, false));
+            };
         }
 
         @Override
--- a/src/main/java/sprucerock/relay/UnitLinks.java
+++ b/src/main/java/sprucerock/relay/UnitLinks.java
@@ -104,7 +104,9 @@
         while (!waiting.isEmpty() && !link.retired && link.greeted && link.load() < config.picksEach) {
             Exchange next = waiting.poll();
             next.waiting.cancel();
-            link.send(next, owner.now());
+            // its RPC may have ended while it waited: nothing more is sent for that
+            if (next.pick.rpc.ended()) owner.endsSoon(next, Outcome.MOOT);
+            else link.send(next, owner.now());
         }
     }
 
--- /dev/null
+++ b/src/test/java/sprucerock/ArchitectureTest.java
@@ -0,0 +1,75 @@
+package sprucerock;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.fields;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.methods;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.domain.JavaModifier;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucerock.model.ByLedger;
+
+/** The arrows of docs/architecture.md, and the one writer of each fact. */
+public class ArchitectureTest {
+    private static final JavaClasses ALL = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+        .importPackages("sprucerock");
+
+    @DataProvider
+    public Object[][] rooms() {
+        return new Object[][] {
+            {"time", ""},
+            {"stats", "time"},
+            {"model", "time stats"},
+            {"host", "time model"},
+            {"evidence", "time stats model"},
+            {"ledger", "time model host"},
+            {"sim", "time model host ledger ."},
+            {"net", "time"},
+            {"net.nio", "time net"},
+            {"wire", "time stats net wire.v1"},
+            {"config", "time model wire"},
+            {"relay", "time stats model host ledger config net wire wire.v1"},
+            {"trace", "time net net.nio wire wire.v1"},
+            {"judge", "trace wire wire.v1"},
+            {"standin", "time stats net trace wire wire.v1"},
+            {"rehearsal", "time net net.nio trace judge standin wire wire.v1"},
+        };
+    }
+
+    @Test(dataProvider = "rooms")
+    public void aRoomUsesOnlyWhatStandsBelowIt(String room, String mayUse) {
+        String own = "sprucerock." + room;
+        java.util.Set<String> allowed = new java.util.HashSet<>(java.util.Set.of(own));
+        for (String one : mayUse.split(" ")) allowed.add(one.equals(".") ? "sprucerock" : "sprucerock." + one);
+        noClasses().that().resideInAPackage(own).should().dependOnClassesThat(
+            com.tngtech.archunit.base.DescribedPredicate.describe("other rooms than " + mayUse, other ->
+                other.getPackageName().startsWith("sprucerock") && !allowed.contains(other.getPackageName()))).check(ALL);
+    }
+
+    @Test
+    public void onlyTheLedgerWritesFacts() {
+        methods().that().areAnnotatedWith(ByLedger.class).should().onlyBeCalled().byClassesThat()
+            .resideInAnyPackage("sprucerock.ledger", "sprucerock.model").check(ALL);
+    }
+
+    @Test
+    public void whatDecidesOpensNothingAndReadsNoClock() {
+        for (String room : new String[] {"model", "stats", "evidence", "ledger", "host", "time"}) {
+            noClasses().that().resideInAPackage("sprucerock." + room).should().dependOnClassesThat()
+                .resideInAnyPackage("java.io", "java.net", "java.nio..", "java.util.concurrent..").check(ALL);
+            noClasses().that().resideInAPackage("sprucerock." + room).should().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
+        }
+        noClasses().that().haveFullyQualifiedName("sprucerock.Policy").should().dependOnClassesThat()
+            .resideInAnyPackage("java.io", "java.net", "java.nio..", "sprucerock.net..", "sprucerock.relay..", "sprucerock.sim..").check(ALL);
+    }
+
+    @Test
+    public void theRelayKeepsNoPublicFields() {
+        fields().that().areDeclaredInClassesThat().resideInAnyPackage("sprucerock.relay", "sprucerock.net..", "sprucerock.wire")
+            .and().arePublic().should().haveModifier(JavaModifier.STATIC).check(ALL);
+    }
+}
--- a/src/test/java/sprucerock/WireTest.java
+++ b/src/test/java/sprucerock/SimhostTest.java
@@ -16,7 +16,7 @@
 import sprucerock.sim.Simhost;
 
 /** Frames in and out of the adapter. */
-public class WireTest {
+public class SimhostTest {
     private static final String CLOCK = "00000000206ec040";
     private static final String CENSUS = "8c3a000000000002000000074a1203000000000000002442010000803f0000000000000000"
         + "f211902c000000000000002842010000c03f0000000000d4b740";
--- /dev/null
+++ b/src/test/java/sprucerock/net/ScriptedNet.java
@@ -0,0 +1,197 @@
+package sprucerock.net;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.Supplier;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/** Links and timers in memory, in steps of a fixed length: due timers first, then all that moves until nothing does. */
+public final class ScriptedNet implements Net {
+    private record Due(double whenMs, long order, Runnable[] what) {}
+
+    private final PriorityQueue<Due> timers = new PriorityQueue<>((a, b) -> a.whenMs != b.whenMs
+        ? Double.compare(a.whenMs, b.whenMs) : Long.compare(a.order, b.order));
+    private final ArrayDeque<Runnable> events = new ArrayDeque<>();
+    private final ArrayDeque<Runnable> putOff = new ArrayDeque<>();
+    private final Map<Integer, Door> doors = new HashMap<>();
+    private final double stepMs;
+    private double nowMs;
+    private long made;
+    /** Connections that are begun stay in the making while this is set. */
+    public boolean connectsHang;
+    /** How many connections were begun. */
+    public int connects;
+
+    public ScriptedNet(double startMs, double stepMs) {
+        nowMs = startMs;
+        this.stepMs = stepMs;
+    }
+
+    /** Lets that time pass, in whole steps. */
+    public void pass(double ms) {
+        settle();
+        for (double until = nowMs + ms; nowMs < until - 1e-9;) {
+            nowMs += stepMs;
+            settle();
+        }
+    }
+
+    public void settle() {
+        while (!timers.isEmpty() && timers.peek().whenMs <= nowMs + 1e-9) {
+            Runnable what = timers.poll().what[0];
+            if (what != null) turn(what);
+        }
+        while (!events.isEmpty()) turn(events.poll());
+    }
+
+    /** Does it as an event of its own, with its turn's end. */
+    public void turn(Runnable what) {
+        what.run();
+        while (!putOff.isEmpty()) putOff.poll().run();
+    }
+
+    @Override
+    public Moment now() {
+        return Moment.ofMs(nowMs);
+    }
+
+    @Override
+    public Timer at(Moment when, Runnable what) {
+        Runnable[] slot = {what};
+        timers.add(new Due(when.ms(), made++, slot));
+        return () -> slot[0] = null;
+    }
+
+    @Override
+    public void atTurnsEnd(Runnable what) {
+        putOff.add(what);
+    }
+
+    private final class Door implements Listener {
+        private final InetSocketAddress at;
+        private final Supplier<LinkUser> users;
+
+        Door(InetSocketAddress at, Supplier<LinkUser> users) {
+            this.at = at;
+            this.users = users;
+        }
+
+        @Override
+        public InetSocketAddress address() {
+            return at;
+        }
+
+        @Override
+        public void close() {
+            doors.remove(at.getPort(), this);
+        }
+    }
+
+    @Override
+    public Listener listen(InetSocketAddress at, int most, long mostUnsent, Supplier<LinkUser> users) {
+        Door door = new Door(at, users);
+        doors.put(at.getPort(), door);
+        return door;
+    }
+
+    @Override
+    public Link connect(InetSocketAddress to, Span within, long mostUnsent, LinkUser user) {
+        connects++;
+        End near = new End(user);
+        Door door = doors.get(to.getPort());
+        if (connectsHang) {
+            at(now().plus(within), () -> near.cut("no connection in time"));
+        } else if (door == null) {
+            near.cut("no connection: refused");
+        } else {
+            End far = new End(door.users.get());
+            near.other = far;
+            far.other = near;
+            events.add(() -> near.user.up(near));
+            events.add(() -> far.user.up(far));
+        }
+        return near;
+    }
+
+    /** One side of a connection. */
+    public final class End implements Link {
+        private final LinkUser user;
+        private End other;
+        private final java.io.ByteArrayOutputStream out = new java.io.ByteArrayOutputStream();
+        private final ArrayDeque<ByteBuffer> claimed = new ArrayDeque<>();
+        private long written;
+        private long handed;
+        private boolean closed;
+        private boolean marked;
+        private boolean finishing;
+
+        End(LinkUser user) {
+            this.user = user;
+        }
+
+        @Override
+        public ByteBuffer claim(int bytes) {
+            ByteBuffer room = ByteBuffer.allocate(bytes);
+            add(room);
+            return room.slice();
+        }
+
+        @Override
+        public void append(byte[] bytes) {
+            add(ByteBuffer.wrap(bytes));
+        }
+
+        private void add(ByteBuffer piece) {
+            claimed.add(piece);
+            written += piece.capacity();
+            mark();
+        }
+
+        private void mark() {
+            if (!marked) putOff.add(this::flush);
+            marked = true;
+        }
+
+        private void flush() {
+            marked = false;
+            if (closed) return;
+            out.reset();
+            while (!claimed.isEmpty()) out.writeBytes(claimed.poll().array());
+            handed = written;
+            byte[] bytes = out.toByteArray();
+            if (bytes.length > 0) events.add(() -> {
+                if (!other.closed) other.user.received(ByteBuffer.wrap(bytes));
+            });
+            if (finishing) cut("done");
+        }
+
+        @Override
+        public long written() {
+            return written;
+        }
+
+        @Override
+        public long handed() {
+            return handed;
+        }
+
+        @Override
+        public void finish() {
+            finishing = true;
+            mark();
+        }
+
+        @Override
+        public void cut(String why) {
+            if (closed) return;
+            closed = true;
+            events.add(() -> user.closed(why));
+            if (other != null) events.add(() -> other.cut("closed by the other side"));
+        }
+    }
+}
