One recorded stretch through both hosts of the module; a timer wheel; a benchmark beside a forwarder

A relay keeps four timers an RPC, nearly all moot when due; they sit in a wheel now, tested beside a heap.

--- /dev/null
+++ b/src/main/java/sprucerock/bench/Bench.java
@@ -0,0 +1,157 @@
+package sprucerock.bench;
+
+import com.sun.management.ThreadMXBean;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.Set;
+import sprucerock.Policy;
+import sprucerock.config.ConfigException;
+import sprucerock.config.RelayConfig;
+import sprucerock.net.nio.NioLoop;
+import sprucerock.relay.Relay;
+import sprucerock.wire.Tap;
+
+/**
+ * Straight to the units, through a bare forwarder and through the relay, in one run: RPCs a second at saturation, then
+ * times at half of the relay's rate on all three ways. All in one process, so that the relay's own threads can be asked
+ * for their CPU and allocation; units and load have loops of their own.
+ */
+public final class Bench {
+    private static final int THREADS = 2;
+    private static final int BODY = 128;
+    private static final int OPEN = 512;
+
+    /** How long each part is warmed up and counted, in seconds. */
+    public record Lengths(double warm, double count) {}
+
+    private final PrintStream out;
+    private final Lengths lengths;
+    private final ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+
+    public Bench(PrintStream out, Lengths lengths) {
+        this.out = out;
+        this.lengths = lengths;
+    }
+
+    /** One way to the units: where clients connect, and the threads of what stands between. */
+    private record Way(String name, int[] ports, boolean straight, Set<Long> own) {}
+
+    private record Row(Load.Took took, double cpuUs, double bytes) {}
+
+    /** Runs one size and prints a table. */
+    public void run(int connections, int units) throws IOException, InterruptedException, ConfigException {
+        out.printf("%d connections, %d units, bodies of %d bytes, %d RPCs open at saturation, %s, %d cores%n", connections, units,
+            BODY, Math.max(OPEN, connections), System.getProperty("java.vm.version"), Runtime.getRuntime().availableProcessors());
+        try (Fleet fleet = new Fleet(units, THREADS)) {
+            Set<Long> before = alive();
+            Forwarder forwarder = new Forwarder(fleet.ports(), task -> new Thread(task, "forwarder"));
+            Set<Long> forwarderOwn = since(before);
+            before = alive();
+            NioLoop loop = new NioLoop("relay", Throwable::printStackTrace);
+            Relay relay = relay(loop, fleet);
+            Set<Long> relayOwn = since(before);
+            try {
+                Way straight = new Way("straight", fleet.ports(), true, Set.of());
+                Way forwarded = new Way("forwarder", new int[] {forwarder.port()}, true, forwarderOwn);
+                Way relayed = new Way("relay", new int[] {relay.address().getPort()}, false, relayOwn);
+                out.println("  way         RPCs/s  not ok   CPU us/RPC  bytes/RPC      p50 us   p99 us  p99.9 us   (at saturation)");
+                Row a = saturate(straight, connections);
+                Row b = saturate(forwarded, connections);
+                Row c = saturate(relayed, connections);
+                out.printf("  the relay does %.2f of the forwarder's rate%n", c.took.perSecond() / b.took.perSecond());
+                double half = c.took.perSecond() / 2;
+                out.printf("  at %.0f RPCs/s, half of the relay's rate, from the intended start%n", half);
+                Row d = at(straight, connections, half);
+                Row e = at(forwarded, connections, half);
+                Row f = at(relayed, connections, half);
+                out.printf("  added by the forwarder: p50 %.0f us, p99 %.0f us, p99.9 %.0f us; by the relay: p50 %.0f us, p99 %.0f us, p99.9 %.0f us%n",
+                    e.took.us(50) - d.took.us(50), e.took.us(99) - d.took.us(99), e.took.us(99.9) - d.took.us(99.9),
+                    f.took.us(50) - d.took.us(50), f.took.us(99) - d.took.us(99), f.took.us(99.9) - d.took.us(99.9));
+            } finally {
+                loop.close();
+                forwarder.close();
+            }
+        }
+    }
+
+    private Set<Long> alive() {
+        Set<Long> found = new HashSet<>();
+        for (long id : threads.getAllThreadIds()) found.add(id);
+        return found;
+    }
+
+    private Set<Long> since(Set<Long> before) {
+        Set<Long> found = alive();
+        found.removeAll(before);
+        return found;
+    }
+
+    private Relay relay(NioLoop loop, Fleet fleet) throws IOException, InterruptedException, ConfigException {
+        Path file = Files.createTempFile("bench", ".xml");
+        Files.writeString(file, """
+            <relay xmlns="urn:sprucerock:relay:1" name="bench" number="0" seed="1">
+              <listen host="127.0.0.1" port="0"/>
+              <roster host="127.0.0.1" port="%d"/>
+              <desk host="127.0.0.1" port="%d"/>
+              <limits open="100000" open-per-client="100000" unsent="64MiB" clients="5000"/>
+              <connections per-unit="1" picks-each="100000" waiting-per-unit="100000" connect-within="5s"/>
+              <site relays="1" tick="5ms">
+                <method name="echo" effect="idempotent" soft-deadline="2s" deadline="5s" utility="1"/>
+                <stage cap="1"/>
+                <rules drain-grace="500ms" cold="1s" start-capacity="0.5" tip-multiple="3" tip-after="1s" counted-over="3s" free-picks="3"/>
+                <allowed picks="3" second-copies="true" cancel="true" peers="false" retry-after="true" most-retry-after="500ms"/>
+                <votes control="single" life="4s" answer-within="1s"/>
+              </site>
+            </relay>
+            """.formatted(fleet.rosterPort(), fleet.deskPort()));
+        RelayConfig config = RelayConfig.read(file);
+        Files.delete(file);
+        Relay relay = Loops.on(loop, () -> {
+            Relay made = new Relay(config, loop, Tap.NONE);
+            made.start(Policy::new);
+            return made;
+        });
+        Thread.sleep(300); // linked up
+        return relay;
+    }
+
+    private Row saturate(Way way, int connections) throws IOException, InterruptedException {
+        try (Load load = new Load(THREADS, connections, way.ports, way.straight, BODY)) {
+            load.closed(OPEN);
+            return measure(way, load);
+        }
+    }
+
+    private Row at(Way way, int connections, double perSecond) throws IOException, InterruptedException {
+        try (Load load = new Load(THREADS, connections, way.ports, way.straight, BODY)) {
+            load.open(perSecond);
+            return measure(way, load);
+        }
+    }
+
+    private Row measure(Way way, Load load) throws IOException, InterruptedException {
+        Thread.sleep((long) (1000 * lengths.warm));
+        long cpu = 0;
+        long bytes = 0;
+        for (long id : way.own) {
+            cpu -= threads.getThreadCpuTime(id);
+            bytes -= threads.getThreadAllocatedBytes(id);
+        }
+        Load.Took took = load.count(lengths.count);
+        for (long id : way.own) {
+            cpu += threads.getThreadCpuTime(id);
+            bytes += threads.getThreadAllocatedBytes(id);
+        }
+        load.stop();
+        Thread.sleep(200);
+        long all = Math.max(1, took.ok() + took.notOk());
+        Row row = new Row(took, cpu / 1000.0 / all, (double) bytes / all);
+        out.printf("  %-9s %8.0f %7d %11.1f %10.0f   %9.0f %8.0f %9.0f%n", way.name, took.perSecond(), took.notOk(), row.cpuUs, row.bytes,
+            took.us(50), took.us(99), took.us(99.9));
+        return row;
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/cli/BenchCommand.java
@@ -0,0 +1,28 @@
+package sprucerock.cli;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import sprucerock.bench.Bench;
+
+@Command(name = "bench", mixinStandardHelpOptions = true,
+    description = "Measures the relay beside a bare forwarder and the straight way, on loopback, for a few minutes.")
+final class BenchCommand implements Callable<Integer> {
+    @Option(names = "--connections", split = ",", defaultValue = "1,64,1024", description = "client connections, several with commas")
+    private int[] connections;
+
+    @Option(names = "--units", split = ",", defaultValue = "10,300", description = "units, several with commas")
+    private int[] units;
+
+    @Option(names = "--seconds", defaultValue = "4", description = "how long each part is counted; warmed up for as long")
+    private double seconds;
+
+    @Override
+    public Integer call() throws Exception {
+        Logs.to(Logs.Form.PLAIN);
+        ((ch.qos.logback.classic.Logger) org.slf4j.LoggerFactory.getLogger("sprucerock")).setLevel(ch.qos.logback.classic.Level.ERROR);
+        Bench bench = new Bench(System.out, new Bench.Lengths(seconds, seconds));
+        for (int many : units) for (int some : connections) bench.run(some, many);
+        return Commands.DONE;
+    }
+}
--- a/src/main/java/sprucerock/net/nio/NioLoop.java
+++ b/src/main/java/sprucerock/net/nio/NioLoop.java
@@ -11,7 +11,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.concurrent.AbstractExecutorService;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
@@ -38,7 +37,7 @@
 
     private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final AtomicBoolean sleeping = new AtomicBoolean();
-    private final PriorityQueue<Due> timers = new PriorityQueue<>();
+    private final Wheel timers = new Wheel();
     private final ArrayDeque<Runnable> putOff = new ArrayDeque<>();
     private final List<NioLink> dirty = new ArrayList<>();
     private final ArrayDeque<ByteBuffer> chunks = new ArrayDeque<>();
@@ -48,7 +47,6 @@
     private final long origin = System.nanoTime();
     private volatile boolean stopped;
     private Moment now = Moment.ofMs(0);
-    private long made;
 
     /** Starts a loop; what throws in it ends up with {@code broken}, and the loop goes on. */
     public NioLoop(String name, Consumer<Throwable> broken) throws IOException {
@@ -59,33 +57,6 @@
         thread.start();
     }
 
-    private record Due(double whenMs, long order, Once what) implements Comparable<Due> {
-        @Override
-        public int compareTo(Due other) {
-            int byTime = Double.compare(whenMs, other.whenMs);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
-
-    private static final class Once implements Timer {
-        private Runnable what;
-
-        Once(Runnable what) {
-            this.what = what;
-        }
-
-        @Override
-        public void cancel() {
-            what = null; // its place in the queue goes when its time comes
-        }
-
-        void run() {
-            Runnable due = what;
-            what = null;
-            if (due != null) due.run();
-        }
-    }
-
     /** What the channels' thread calls to have a completion handled. */
     private final class Completions extends AbstractExecutorService {
         private volatile boolean shut;
@@ -131,7 +102,7 @@
     private void run() {
         while (!stopped) {
             now = clock();
-            while (!timers.isEmpty() && timers.peek().whenMs <= now.ms()) guarded(timers.poll().what::run);
+            timers.run(now.ms(), this::guarded);
             // not more than a turn's worth: timers and writes must get their turn under any load
             for (int i = 0; i < 512; i++) {
                 Runnable task = tasks.poll();
@@ -146,7 +117,7 @@
     }
 
     private void sleep() {
-        double ms = timers.isEmpty() ? 1000 : timers.peek().whenMs - clock().ms();
+        double ms = timers.next() - clock().ms();
         if (ms <= 0) return;
         sleeping.set(true);
         if (tasks.isEmpty() && !stopped) LockSupport.parkNanos(this, (long) (Math.min(ms, 1000) * 1e6));
@@ -177,9 +148,7 @@
 
     @Override
     public Timer at(Moment when, Runnable what) {
-        Once once = new Once(what);
-        timers.add(new Due(when.ms(), made++, once));
-        return once;
+        return timers.add(when.ms(), what);
     }
 
     @Override
--- a/src/main/java/sprucerock/relay/Asked.java
+++ b/src/main/java/sprucerock/relay/Asked.java
@@ -7,7 +7,8 @@
     final ClientLink client;
     final long id;
     final long token;
-    final byte[] body;
+    /** Gone once the RPC has ended: the module may hold on to that for as long as its deadline. */
+    byte[] body;
     Rpc rpc;
 
     Asked(ClientLink client, long id, long token, byte[] body) {
--- a/src/main/java/sprucerock/relay/Relay.java
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -198,6 +198,7 @@
     }
 
     void left(Asked asked) {
+        asked.body = null;
         ledger.clientLeft(asked.rpc);
     }
 
--- a/src/test/java/sprucerock/relay/Told.java
+++ b/src/test/java/sprucerock/relay/Told.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import sprucerock.host.Host;
 import sprucerock.host.Module;
 import sprucerock.model.Build;
 import sprucerock.model.Method;
@@ -17,9 +18,11 @@
 public class Told implements Module {
     public final List<String> calls = new ArrayList<>();
     public Module behind;
+    /** Where set, each call is noted with its time. */
+    public Host clock;
 
     private void say(String call, java.util.function.Consumer<Module> next) {
-        calls.add(call);
+        calls.add(clock == null ? call : call + " @" + clock.now().ms());
         if (behind != null) next.accept(behind);
     }
 
