--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -155,10 +155,10 @@
     }
 
     private void route(Rpc rpc) {
-        host.wake(host.now().plus(rpc.method.softDeadline), () -> settle(rpc));
+        host.wake(rpc, host.now().plus(rpc.method.softDeadline), () -> settle(rpc));
         // Rule 1: two rounds before the client's own deadline, since a timer may come a round late.
-        host.wake(rpc.deadline.minus(settings.tick.times(2)), () -> {
-            if (!rpc.ended() && !rpc.streaming()) giveUp(rpc);
+        host.wake(rpc, rpc.deadline.minus(settings.tick.times(2)), () -> {
+            if (!rpc.streaming()) giveUp(rpc);
         });
         Build trial = trial();
         // Alone in place of a copy: where second copies are barred, and a few RPCs with an effect.
@@ -238,7 +238,7 @@
         Pick pick = new Pick(rpc, unit, now, cut ? lost : null);
         host.send(pick);
         report(unit, null);
-        host.wake(now.plus(overdue), () -> overdue(pick));
+        host.wake(pick, now.plus(overdue), () -> overdue(pick));
         return pick;
     }
 
@@ -254,7 +254,6 @@
 
     /** Silence, no answer from the unit since: it is marked and, where copies may run, picked past. */
     private void overdue(Pick pick) {
-        if (pick.outcome() != null) return;
         pick.overdue = true;
         boolean silent = pick.unit.lastAnswer == null || pick.sent.after(pick.unit.lastAnswer);
         if (silent) note(pick.unit, false);
--- a/src/main/java/sprucerock/host/Host.java
+++ b/src/main/java/sprucerock/host/Host.java
@@ -27,6 +27,12 @@
     /** Runs {@code what} in the first round at or after {@code when}. */
     void wake(Moment when, Runnable what);
 
+    /** The same, unless the RPC has ended by then: a host need not keep hold of what is over. */
+    void wake(Rpc rpc, Moment when, Runnable what);
+
+    /** The same, unless the pick has ended by then. */
+    void wake(Pick pick, Moment when, Runnable what);
+
     void vote(Build build, int stage, Verdict verdict);
 
     /** A short message to every other relay; it may come late or never. */
--- a/src/main/java/sprucerock/relay/Asked.java
+++ b/src/main/java/sprucerock/relay/Asked.java
@@ -1,14 +1,18 @@
 package sprucerock.relay;
 
+import java.util.ArrayList;
+import java.util.List;
 import sprucerock.model.Rpc;
+import sprucerock.net.Timers.Timer;
 
 /** What the door keeps with an RPC: who asked, under which id, and what the units are sent. */
 final class Asked {
     final ClientLink client;
     final long id;
     final long token;
-    /** Gone once the RPC has ended: the module may hold on to that for as long as its deadline. */
     byte[] body;
+    /** What is to be done while the RPC is open. */
+    final List<Timer> until = new ArrayList<>(2);
     Rpc rpc;
 
     Asked(ClientLink client, long id, long token, byte[] body) {
@@ -17,4 +21,11 @@
         this.token = token;
         this.body = body;
     }
+
+    /** The RPC has ended: neither its body nor what was to be done for it is kept until its deadline. */
+    void over() {
+        body = null;
+        for (Timer timer : until) timer.cancel();
+        until.clear();
+    }
 }
--- a/src/main/java/sprucerock/relay/ClientLink.java
+++ b/src/main/java/sprucerock/relay/ClientLink.java
@@ -67,7 +67,7 @@
 
     /** The one final answer. */
     void answer(Asked asked, Ending ending, long waitUs, long unit, byte[] body) {
-        asked.body = null;
+        asked.over();
         if (closed || !open.remove(asked.id, asked)) return;
         link.send(Kind.ANSWER, Answer.newBuilder().setId(asked.id).setEnding(ending).setWaitUs(waitUs).setUnit(unit)
             .build(), body);
--- a/src/main/java/sprucerock/relay/Exchange.java
+++ b/src/main/java/sprucerock/relay/Exchange.java
@@ -1,5 +1,7 @@
 package sprucerock.relay;
 
+import java.util.ArrayList;
+import java.util.List;
 import sprucerock.model.Pick;
 import sprucerock.net.Timers.Timer;
 
@@ -14,8 +16,17 @@
     boolean over;
     Timer end;
     Timer waiting;
+    /** What is to be done while the pick is out. */
+    final List<Timer> until = new ArrayList<>(1);
 
     Exchange(Pick pick) {
         this.pick = pick;
     }
+
+    void over() {
+        over = true;
+        end.cancel();
+        for (Timer timer : until) timer.cancel();
+        until.clear();
+    }
 }
--- a/src/main/java/sprucerock/relay/Relay.java
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -198,7 +198,7 @@
     }
 
     void left(Asked asked) {
-        asked.body = null;
+        asked.over();
         ledger.clientLeft(asked.rpc);
     }
 
@@ -228,8 +228,7 @@
     @Override
     public void ended(Exchange exchange, Outcome outcome, byte[] body) {
         if (exchange.over) return;
-        exchange.over = true;
-        exchange.end.cancel();
+        exchange.over();
         Pick pick = exchange.pick;
         boolean answers = outcome == Outcome.OK && !pick.rpc.ended();
         if (answers) answer(pick.rpc, Ending.OK, Span.ZERO, pick.unit.id, body);
@@ -317,6 +316,16 @@
         net.at(when, what);
     }
 
+    @Override
+    public void wake(Rpc rpc, Moment when, Runnable what) {
+        ((Asked) rpc.door).until.add(net.at(when, what));
+    }
+
+    @Override
+    public void wake(Pick pick, Moment when, Runnable what) {
+        ((Exchange) pick.door).until.add(net.at(when, what));
+    }
+
     @Override
     public void vote(Build build, int stage, Verdict verdict) {
         desk.vote(build, stage, verdict);
