--- a/src/main/java/sprucerock/config/Node.java
+++ b/src/main/java/sprucerock/config/Node.java
@@ -136,15 +136,7 @@
 
     /** The schema lets only numbers with us, ms, s or min through. */
     public Span span(String key) {
-        String text = text(key).trim();
-        String unit = text.replaceFirst("^[0-9.]+", "");
-        double value = Double.parseDouble(text.substring(0, text.length() - unit.length()));
-        return Span.ofMs(value * switch (unit) {
-            case "us" -> 0.001;
-            case "ms" -> 1;
-            case "s" -> 1000;
-            default -> 60_000;
-        });
+        return Span.parse(text(key).trim());
     }
 
     /** The schema lets only whole numbers with B, KiB or MiB through. */
--- a/src/main/java/sprucerock/net/nio/NioLoop.java
+++ b/src/main/java/sprucerock/net/nio/NioLoop.java
@@ -110,7 +110,7 @@
                 guarded(task);
             }
             while (!putOff.isEmpty()) guarded(putOff.poll());
-            for (int i = 0; i < dirty.size(); i++) dirty.get(i).flush();
+            for (int i = 0; i < dirty.size(); i++) guarded(dirty.get(i)::flush);
             dirty.clear();
             if (tasks.isEmpty()) sleep();
         }
--- a/src/main/java/sprucerock/rehearsal/Books.java
+++ b/src/main/java/sprucerock/rehearsal/Books.java
@@ -38,8 +38,9 @@
         java.util.Arrays.setAll(columns, i -> new Column());
     }
 
-    void begin(Moment now) {
-        from = now;
+    /** What is asked before then is not counted. */
+    void begin(Moment then) {
+        from = then;
     }
 
     Column column(int method) {
@@ -48,12 +49,14 @@
 
     @Override
     public void asked(Order order) {
+        if (from.after(order.at)) return;
         columns[order.method].asked++;
         second(order)[0] += site.methods().get(order.method).utility();
     }
 
     @Override
     public void ended(Order order, End end) {
+        if (from.after(order.at)) return;
         columns[order.method].ends.merge(end, 1L, Long::sum);
         columns[order.method].tries += order.tries;
         if (end == End.OK) second(order)[1] += site.methods().get(order.method).utility();
--- a/src/main/java/sprucerock/relay/Asked.java
+++ b/src/main/java/sprucerock/relay/Asked.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import sprucerock.model.Rpc;
 import sprucerock.net.Timers.Timer;
 
 /** What the door keeps with an RPC: who asked, under which id, and what the units are sent. */
@@ -13,7 +12,8 @@
     byte[] body;
     /** What is to be done while the RPC is open. */
     final List<Timer> until = new ArrayList<>(2);
-    Rpc rpc;
+    /** The relay's own number for the RPC. */
+    long number;
 
     Asked(ClientLink client, long id, long token, byte[] body) {
         this.client = client;
--- a/src/main/java/sprucerock/relay/ClientLink.java
+++ b/src/main/java/sprucerock/relay/ClientLink.java
@@ -83,7 +83,7 @@
 
     /** The relay's time is over: each open RPC gets an answer that promises nothing. */
     void abortAll() {
-        for (Asked asked : new ArrayList<>(open.values())) relay.abort(asked.rpc);
+        for (Asked asked : new ArrayList<>(open.values())) relay.abort(asked);
     }
 
     void finish() {
--- a/src/main/java/sprucerock/relay/Relay.java
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -193,13 +193,28 @@
         long dayUs = 86_400_000_000L;
         double left = (Long.compareUnsigned(call.getLeftUs(), dayUs) > 0 ? dayUs : call.getLeftUs()) / 1000.0;
         Span hint = call.getHintUs() <= 0 ? null : Span.ofMs(call.getHintUs() / 1000.0);
-        asked.rpc = ledger.arrived(++lastRpc, config.settings.methods.get(call.getMethod()), call.getCustomer(),
-            call.getKey(), now, now.plus(Span.ofMs(left)), hint, asked);
+        Moment deadline = now.plus(Span.ofMs(left));
+        // guards against a fault in the module: whatever it forgot has an answer, one that promises nothing
+        asked.until.add(net.at(deadline, () -> forgotten(asked)));
+        int customer = call.getCustomer() < 0 ? Integer.MAX_VALUE : call.getCustomer(); // unsigned on the wire
+        asked.number = ++lastRpc;
+        ledger.arrived(asked.number, config.settings.methods.get(call.getMethod()), customer,
+            call.getKey(), now, deadline, hint, asked);
+    }
+
+    private void forgotten(Asked asked) {
+        events.broken(new IllegalStateException("an RPC had no answer at its deadline; it is aborted"));
+        abort(ledger.rpc(asked.number));
+    }
+
+    /** At the end of the relay's time: an answer that promises nothing. */
+    void abort(Asked asked) {
+        abort(ledger.rpc(asked.number));
     }
 
     void left(Asked asked) {
         asked.over();
-        ledger.clientLeft(asked.rpc);
+        ledger.clientLeft(ledger.rpc(asked.number));
     }
 
     void flagged(long unit, long agoUs) {
@@ -281,10 +296,10 @@
     @Override
     public void send(Pick pick) {
         ledger.sent(pick);
-        Exchange exchange = new Exchange(pick);
-        pick.door = exchange;
         Moment now = net.now();
         Moment until = pick.patience == null ? pick.rpc.deadline : pick.rpc.deadline.earlier(now.plus(pick.patience));
+        Exchange exchange = new Exchange(pick, until);
+        pick.door = exchange;
         exchange.end = net.at(until, () -> timedOut(exchange));
         boolean moot = pick.rpc.ended() || !until.after(now) || pick.rpc.picks.size() > config.settings.maxPicks;
         if (moot) endsSoon(exchange, Outcome.MOOT);
--- a/src/main/java/sprucerock/relay/UnitLink.java
+++ b/src/main/java/sprucerock/relay/UnitLink.java
@@ -47,11 +47,16 @@
         return live.isEmpty();
     }
 
+    /** Nothing new may follow what closes it: such a pick would be cut off with it. */
+    void retire() {
+        retired = true;
+        link.finish();
+    }
+
     void send(Exchange exchange, Moment now) {
         Rpc rpc = exchange.pick.rpc;
         Asked asked = (Asked) rpc.door;
-        Span left = rpc.deadline.since(now);
-        if (exchange.pick.patience != null) left = left.atMost(exchange.pick.patience);
+        Span left = exchange.ends.since(now);
         Work.Builder work = Work.newBuilder().setId(++lastId).setMethod(rpc.method.index).setCustomer(rpc.customer)
             .setKey(rpc.key).setLeftUs((long) (left.ms() * 1000)).setHintUs((long) (rpc.hinted().ms() * 1000));
         if (rpc.method.effect == Method.Effect.TOKENED) work.setToken(asked.token);
--- a/src/main/java/sprucerock/relay/UnitLinks.java
+++ b/src/main/java/sprucerock/relay/UnitLinks.java
@@ -113,7 +113,7 @@
     private void closeIdle(UnitLink link) {
         if (!links.contains(link)) return;
         Span unused = owner.now().since(link.usedLast);
-        if (link.idle() && !config.idle.over(unused)) link.link.finish();
+        if (link.idle() && !config.idle.over(unused)) link.retire();
         else owner.at(owner.now().plus(config.idle), () -> closeIdle(link));
     }
 
@@ -121,8 +121,7 @@
     void emptied(UnitLink link) {
         // a unit that answers nothing fills its connection with picks that nobody waits for: another is made
         boolean stuck = link.idle() && 2 * link.load() >= config.picksEach;
-        if ((left || link.retired) && link.idle() || stuck) link.link.finish();
-        link.retired |= stuck;
+        if ((left || link.retired) && link.idle() || stuck) link.retire();
         drain(link);
     }
 
@@ -173,7 +172,7 @@
             owner.endsSoon(next, Outcome.NOT_CONNECTED);
         }
         for (UnitLink link : new ArrayList<>(links)) {
-            if (link.idle()) link.link.finish();
+            if (link.idle()) link.retire();
         }
     }
 }
