--- a/src/main/java/sprucerock/cli/RelayCommand.java
+++ b/src/main/java/sprucerock/cli/RelayCommand.java
@@ -10,6 +10,8 @@
 import sprucerock.Policy;
 import sprucerock.config.ConfigException;
 import sprucerock.config.RelayConfig;
+import sprucerock.figures.Keeper;
+import sprucerock.ledger.Accounts;
 import sprucerock.net.nio.NioLoop;
 import sprucerock.relay.Relay;
 import sprucerock.trace.TraceWriter;
@@ -40,6 +42,7 @@
             if (relay.get() != null) relay.get().broken(e);
             else e.printStackTrace(System.err);
         });
+        AtomicReference<Keeper> keeper = new AtomicReference<>();
         AtomicReference<TraceWriter> tracing = new AtomicReference<>();
         loop.post(() -> {
             try {
@@ -48,6 +51,10 @@
                     tracing.get().watchStalls();
                 }
                 relay.set(new Relay(config, loop, trace == null ? Tap.NONE : tracing.get()));
+                Accounts accounts = relay.get().ledger().accounts();
+                if (config.figures != null) {
+                    keeper.set(Keeper.open(config.figures, accounts, () -> loop.atTurnsEnd(accounts::commit), relay.get()::figuresFile));
+                }
                 relay.get().start(Policy::new);
             } catch (IOException e) {
                 wrong.set(e);
@@ -61,6 +68,7 @@
         }
         Thread stopper = new Thread(() -> {
             loop.post(() -> relay.get().finish(() -> {
+                if (keeper.get() != null) keeper.get().close();
                 if (tracing.get() != null) tracing.get().note("END", "in good order");
                 loop.atTurnsEnd(ended::countDown);
             }));
--- a/src/main/java/sprucerock/config/RelayConfig.java
+++ b/src/main/java/sprucerock/config/RelayConfig.java
@@ -39,6 +39,10 @@
     public final Span idle;
     public final Span pauseFirst;
     public final Span pauseMost;
+    /** Where figures are kept through the relay's lives; null: in memory only. */
+    public final Path figures;
+    /** Once figures drift, no new RPC is taken. */
+    public final boolean strict;
     public final Settings settings;
     /** By their places in the settings. */
     public final List<String> methodNames;
@@ -78,6 +82,9 @@
         atLeast(connections, "idle", Span.ofMs(10));
         atLeast(connections, "pause-first", Span.ofMs(1));
         atLeast(connections, "pause-most", pauseFirst);
+        Node kept = root.child("figures");
+        figures = kept == null ? null : Path.of(kept.text("file"));
+        strict = kept != null && kept.flag("strict");
         Node site = root.child("site");
         int number = root.count("number");
         settings = new Settings(draft(site, number));
--- /dev/null
+++ b/src/main/java/sprucerock/figures/BufferMemory.java
@@ -0,0 +1,38 @@
+package sprucerock.figures;
+
+import java.lang.invoke.MethodHandles;
+import java.lang.invoke.VarHandle;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+
+/** A buffer, mapped or not. The kernel writes a mapped one back whatever becomes of the process. */
+final class BufferMemory implements Memory {
+    private static final VarHandle LONGS = MethodHandles.byteBufferViewVarHandle(long[].class, ByteOrder.LITTLE_ENDIAN);
+
+    private final ByteBuffer buffer;
+
+    BufferMemory(ByteBuffer buffer) {
+        this.buffer = buffer.order(ByteOrder.LITTLE_ENDIAN);
+    }
+
+    @Override
+    public long get(int at) {
+        return (long) LONGS.getAcquire(buffer, at);
+    }
+
+    @Override
+    public void put(int at, long value) {
+        // release, not plain: neither compiler nor processor may move it before what was put earlier
+        LONGS.setRelease(buffer, at, value);
+    }
+
+    @Override
+    public void putLast(int at, long value) {
+        LONGS.setVolatile(buffer, at, value);
+    }
+
+    @Override
+    public int size() {
+        return buffer.capacity();
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/figures/Snapshot.java
@@ -0,0 +1,135 @@
+package sprucerock.figures;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import sprucerock.ledger.Accounts;
+import sprucerock.ledger.Sheet;
+
+/** All figures of one relay at the end of one turn, read from its file; the relay may run, be ended or be dead. */
+public final class Snapshot {
+    /** A file that can't be used; the message says why in one line. */
+    public static final class BadFileException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        BadFileException(String message) {
+            super(message);
+        }
+    }
+
+    private static final int TRIES = 10_000;
+    private static final int MOST_VALUES = 10_000_000;
+
+    public final long generation;
+    public final boolean closed;
+    public final String layout;
+    public final String[] names;
+    public final long[] values;
+
+    private Snapshot(long generation, boolean closed, String layout, String[] names, long[] values) {
+        this.generation = generation;
+        this.closed = closed;
+        this.layout = layout;
+        this.names = names;
+        this.values = values;
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @throws IOException if it can't be read at all
+     * @throws BadFileException if what it holds are no figures, or not whole
+     */
+    public static Snapshot read(Path file) throws IOException, BadFileException {
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+            long size = channel.size();
+            if (size < Pages.HEAD || size > Integer.MAX_VALUE) throw new BadFileException(file + ": " + size + " bytes are no figures");
+            return read(new BufferMemory(channel.map(FileChannel.MapMode.READ_ONLY, 0, size)), file.toString());
+        }
+    }
+
+    static Snapshot read(Memory memory, String file) throws BadFileException {
+        if (memory.get(0) != Pages.MAGIC) throw new BadFileException(file + ": no figures, or those of another version");
+        long count = memory.get(Pages.VALUES);
+        long rows = memory.get(Pages.ROWS);
+        long layoutBytes = memory.get(Pages.LAYOUT_BYTES);
+        boolean fits = count >= 0 && count <= MOST_VALUES && rows >= 0 && rows <= count && layoutBytes >= 0 && layoutBytes < 1 << 20
+            && Pages.HEAD + Pages.padded((int) layoutBytes) + rows * Pages.NAME + 2 * (count + 2) * 8 == memory.size();
+        if (!fits) throw new BadFileException(file + ": cut short, or its head is damaged");
+        byte[] layout = bytes(memory, Pages.HEAD, (int) layoutBytes);
+        if (Pages.crc(layout) != memory.get(Pages.LAYOUT_CRC)) throw new BadFileException(file + ": its layout is damaged");
+        int namesAt = Pages.HEAD + Pages.padded(layout.length);
+        String[] names = new String[(int) rows];
+        for (int i = 0; i < names.length; i++) {
+            long length = memory.get(namesAt + i * Pages.NAME);
+            if (length < 0 || length > Pages.NAME - 8) throw new BadFileException(file + ": a name is damaged");
+            if (length > 0) names[i] = new String(bytes(memory, namesAt + i * Pages.NAME + 8, (int) length), StandardCharsets.UTF_8);
+        }
+        int valuesAt = namesAt + names.length * Pages.NAME;
+        long[] values = new long[(int) count];
+        for (int i = 0; i < TRIES; i++) {
+            long sequence = memory.get(Pages.SEQUENCE);
+            // a relay that goes on may begin to write where we read: then the checksum is wrong and the number moves on
+            boolean read = copy(memory, valuesAt, sequence, values) == sequence;
+            if (!read && memory.get(Pages.SEQUENCE) == sequence) {
+                // nobody writes: it was cut off just there. The other copy, or this one without its number, is whole
+                long even = copy(memory, valuesAt, 0, values);
+                long odd = copy(memory, valuesAt, 1, values);
+                read = Math.max(even, odd) >= 0 && copy(memory, valuesAt, Math.max(even, odd), values) >= 0;
+                if (!read) throw new BadFileException(file + ": its checksums are wrong");
+            }
+            if (read) {
+                return new Snapshot(memory.get(Pages.GENERATION), memory.get(Pages.CLOSED) == 1, new String(layout, StandardCharsets.UTF_8),
+                    names, values);
+            }
+            Thread.onSpinWait();
+        }
+        throw new BadFileException(file + ": changed at each of " + TRIES + " looks");
+    }
+
+    /** Reads the copy that a turn's number falls to; returns the number that stands in it, -1 where it is not whole. */
+    private static long copy(Memory memory, int valuesAt, long sequence, long[] into) {
+        int at = Pages.copyAt(valuesAt, into.length, sequence);
+        long check = 0;
+        for (int i = 0; i < into.length; i++) {
+            into[i] = memory.get(at + i * 8);
+            check += into[i] * Pages.weight(i);
+        }
+        long own = memory.get(at + into.length * 8);
+        boolean whole = memory.get(at + into.length * 8 + 8) == Pages.checksum(check, own) && (own & 1) == (sequence & 1);
+        return whole ? own : -1;
+    }
+
+    private static byte[] bytes(Memory memory, int at, int count) {
+        byte[] bytes = new byte[count];
+        for (int i = 0; i < count; i++) bytes[i] = (byte) (memory.get(at + (i & ~7)) >>> 8 * (i & 7));
+        return bytes;
+    }
+
+    /** Accounts of the same layout and names, to check and name these values by. */
+    public Accounts accounts() throws BadFileException {
+        List<String> methods = new ArrayList<>();
+        int[] rooms = new int[3];
+        int row = 0;
+        for (String line : layout.split("\n")) {
+            String[] parts = line.split(" ");
+            int rows = Integer.parseInt(parts[2]);
+            for (int i = 0; i < rows - 1 && parts[0].equals("rpcs"); i++) methods.add(names[row + i]);
+            if (parts[0].equals("build_picks")) rooms[0] = rows - 1;
+            if (parts[0].equals("unit_picks")) rooms[1] = rows - 1;
+            if (parts[0].equals("customer_rpcs")) rooms[2] = rows - 1;
+            row += rows;
+        }
+        Accounts made = new Accounts(methods, new Accounts.Room(rooms[0], rooms[1], rooms[2]));
+        if (!made.layout().equals(layout)) throw new BadFileException("figures of another version");
+        int at = 0;
+        for (Sheet sheet : made.sheets()) {
+            for (int i = 0; i < sheet.rows(); i++, at++) if (names[at] != null) made.row(sheet, names[at]);
+        }
+        return made;
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/figures/Table.java
@@ -0,0 +1,32 @@
+package sprucerock.figures;
+
+import java.util.Locale;
+import sprucerock.ledger.Accounts;
+import sprucerock.ledger.Sheet;
+
+/** Figures as a table for a terminal: rows in use, columns that are not all zero. */
+public final class Table {
+    private Table() {}
+
+    public static String of(Snapshot snapshot) throws Snapshot.BadFileException {
+        Accounts accounts = snapshot.accounts();
+        StringBuilder text = new StringBuilder("generation " + snapshot.generation + ", "
+            + (snapshot.closed ? "ended in good order" : "running, or cut off") + "\n");
+        for (Sheet sheet : accounts.sheets()) sheet(text, sheet, accounts, snapshot.values);
+        return text.toString();
+    }
+
+    private static void sheet(StringBuilder text, Sheet sheet, Accounts accounts, long[] values) {
+        text.append(String.format(Locale.ROOT, "%-14s %-14s", sheet.name(), sheet.by()));
+        for (String column : sheet.columns()) text.append(String.format(Locale.ROOT, " %13s", column));
+        text.append('\n');
+        for (int row = 0; row < sheet.rows(); row++) {
+            if (values[sheet.index(row, 0)] == 0) continue;
+            text.append(String.format(Locale.ROOT, "%-14s %-14s", "", accounts.name(sheet, row)));
+            for (int column = 0; column < sheet.columns().size(); column++) {
+                text.append(String.format(Locale.ROOT, " %13d", values[sheet.index(row, column)]));
+            }
+            text.append('\n');
+        }
+    }
+}
--- a/src/main/java/sprucerock/ledger/Accounts.java
+++ b/src/main/java/sprucerock/ledger/Accounts.java
@@ -80,7 +80,7 @@
         dirty = new int[size];
         isDirty = new boolean[size];
         names = new String[rows];
-        for (Sheet sheet : sheets) label(sheet, sheet.rows() - 1, Sheet.OTHER);
+        for (Sheet sheet : sheets) label(sheet, sheet.rows() - 1, sheet.rows() == 1 ? Sheet.ALL : Sheet.OTHER);
         for (String method : methods) {
             row(rpcs, method);
             row(picks, method);
--- a/src/main/java/sprucerock/ledger/Sheet.java
+++ b/src/main/java/sprucerock/ledger/Sheet.java
@@ -10,6 +10,8 @@
 public final class Sheet {
     /** A row's name where more were wanted than there is room for. */
     public static final String OTHER = "other";
+    /** The name of an only row. */
+    public static final String ALL = "all";
 
     private final String name;
     private final String by;
--- a/src/main/java/sprucerock/rehearsal/Rehearsal.java
+++ b/src/main/java/sprucerock/rehearsal/Rehearsal.java
@@ -4,6 +4,8 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import sprucerock.judge.Judge;
 
 /** A day from its script to its report. */
@@ -17,18 +19,21 @@
             + day.troubles.size() + " troubles: in order";
     }
 
-    /** Plays it, and leaves traces, logs and report.txt in a folder. True where all rules were kept and all relays ended well. */
+    /** Plays it, and leaves traces, logs and report.txt in a folder. True where rules were kept, figures add up, relays ended well. */
     public static boolean play(Path script, Path folder, PrintStream out)
         throws IOException, InterruptedException, Script.ScriptException {
         Play play = new Play(Script.read(script), folder, out);
         play.run();
         play.count();
         Judge.Verdict verdict = Judge.judge(folder);
-        String report = Report.of(play, verdict);
+        List<List<SecondBook.Entry>> books = new ArrayList<>();
+        for (int i = 0; i < play.relays().size(); i++) books.add(SecondBook.hold(folder, i));
+        boolean balanced = books.stream().allMatch(book -> book.stream().allMatch(SecondBook.Entry::holds));
+        String report = Report.of(play, verdict, books);
         Files.writeString(folder.resolve("report.txt"), report);
         out.print(report);
         out.println();
         out.println("traces, logs and this report: " + folder);
-        return verdict.kept() && play.relays().stream().allMatch(relay -> relay.badEnds() == 0);
+        return verdict.kept() && balanced && play.relays().stream().allMatch(relay -> relay.badEnds() == 0);
     }
 }
--- a/src/main/java/sprucerock/rehearsal/RelayXml.java
+++ b/src/main/java/sprucerock/rehearsal/RelayXml.java
@@ -19,7 +19,8 @@
             number, number, day.seed * 1000 + number));
         xml.append(address("listen", port, "")).append(address("roster", roster, "")).append(address("desk", desk, ""));
         peers.forEach((other, at) -> xml.append(address("peer", at, " number=\"" + other + "\"")));
-        xml.append("  <limits/>\n  <connections/>\n");
+        xml.append("  <limits/>\n  <connections/>\n  <figures file=\"" + file.resolveSibling("relay-" + number + ".figures").toAbsolutePath()
+            + "\"/>\n");
         xml.append(String.format(Locale.ROOT, "  <site relays=\"%d\" tick=\"%s\" ask=\"%b\">%n", day.relays, span(day.tick), day.ask));
         for (Site.Method method : day.methods) {
             String effect = method.effect().name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/src/main/java/sprucerock/rehearsal/Report.java
+++ b/src/main/java/sprucerock/rehearsal/Report.java
@@ -19,7 +19,7 @@
 
     private Report() {}
 
-    static String of(Play play, Judge.Verdict verdict) {
+    static String of(Play play, Judge.Verdict verdict, List<List<SecondBook.Entry>> books) {
         StringBuilder text = new StringBuilder();
         Script day = play.day();
         line(text, "");
@@ -36,9 +36,22 @@
             line(text, "  relay %d: %d runs, %s", i, relay.runs(),
                 relay.badEnds() == 0 ? "ended in good order" : "did not end in good order, see its log");
         }
+        figures(text, books);
         return text.toString();
     }
 
+    /** What differs in full; of what holds only a line. */
+    private static void figures(StringBuilder text, List<List<SecondBook.Entry>> books) {
+        line(text, "");
+        line(text, "figures against the frames that crossed, through all lives of each relay");
+        for (int i = 0; i < books.size(); i++) {
+            boolean holds = books.get(i).stream().allMatch(SecondBook.Entry::holds);
+            SecondBook.Entry calls = books.get(i).get(0);
+            line(text, "  relay %d: %s; %s", i, holds ? "every one accounted for" : "NOT ACCOUNTED FOR", calls);
+            for (SecondBook.Entry entry : books.get(i)) if (!entry.holds() && entry != calls) line(text, "    %s", entry);
+        }
+    }
+
     private static void line(StringBuilder text, String format, Object... values) {
         text.append(String.format(Locale.ROOT, format, values)).append('\n');
     }
--- a/src/main/java/sprucerock/relay/Events.java
+++ b/src/main/java/sprucerock/relay/Events.java
@@ -13,7 +13,7 @@
     /** The kinds, as docs/operators/relay.md explains them one by one. */
     enum Kind {
         STARTED, FIGURES, FINISHING, FINISHED, MODULE, CLIENT_CUT, CLIENT_REFUSED, TURNED_AWAY, UNIT_LOST, UNIT_MISNAMED,
-        LISTING_REFUSED, ROSTER_LOST, ROSTER_BACK, DESK_LOST, DESK_BACK, NEWS_REFUSED, PEER_LOST, VOTE_UNANSWERED, BROKEN
+        LISTING_REFUSED, ROSTER_LOST, ROSTER_BACK, DESK_LOST, DESK_BACK, NEWS_REFUSED, PEER_LOST, VOTE_UNANSWERED, DRIFT, FIGURES_FILE, BROKEN
     }
 
     private static final Span EVERY = Span.ofMs(1000); // readable while it streams by, and a bound for disks
@@ -35,6 +35,10 @@
         if (due(kind)) log.warn("{} {}", kind, text(kind, text));
     }
 
+    void error(Kind kind, String text) {
+        if (due(kind)) log.error("{} {}", kind, text(kind, text));
+    }
+
     /** Something in the program itself went wrong; always said. */
     void broken(Throwable why) {
         log.error("{} {}", Kind.BROKEN, why.toString(), why);
--- a/src/main/java/sprucerock/relay/Relay.java
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import sprucerock.config.RelayConfig;
 import sprucerock.host.Host;
@@ -43,6 +44,7 @@
     private static final int BUILDS = 16;
     private static final int UNITS = 1024;
     private static final int CUSTOMERS = 64;
+    private static final Span CHECK = Span.ofMs(1000); // some ten microseconds at a thousand units
     private static final Span FIGURES = Span.ofMs(10_000); // seldom enough for a log, often enough for a first look
 
     private final RelayConfig config;
@@ -61,6 +63,7 @@
     private Net.Listener listener;
     private long lastRpc;
     private boolean finishing;
+    private boolean drifting;
     private Runnable finished;
 
     /** Nothing is opened yet, see {@link #start}. */
@@ -98,6 +101,21 @@
         events.info(Events.Kind.STARTED, "relay " + config.name + ", number " + config.settings.index + " of "
             + config.settings.relays + ", listens at " + listener.address());
         net.at(net.now().plus(FIGURES), this::figures);
+        checkFigures();
+    }
+
+    /** Says that something is the matter with the file of figures, which never stops routing. */
+    public void figuresFile(String what) {
+        events.warn(Events.Kind.FIGURES_FILE, what);
+    }
+
+    private void checkFigures() {
+        List<Accounts.Drift> drifts = accounts.check();
+        long open = accounts.sum(accounts.rpcs, accounts.rpcs.pending());
+        drifting |= !drifts.isEmpty() || open != ledger.open();
+        if (open != ledger.open()) events.error(Events.Kind.DRIFT, "rpcs open: " + open + " by the accounts, " + ledger.open() + " by count");
+        if (!drifts.isEmpty()) events.error(Events.Kind.DRIFT, drifts.get(0) + (drifts.size() > 1 ? "; and " + (drifts.size() - 1) + " more" : ""));
+        if (!finishing) net.at(net.now().plus(CHECK), this::checkFigures);
     }
 
     public InetSocketAddress address() {
@@ -173,7 +191,7 @@
                 + config.settings.methods.size() + "; it was aborted");
             return;
         }
-        String full = finishing ? "the relay is finishing" : ledger.open() >= config.open ? "limits/open is reached"
+        String full = config.strict && drifting ? "figures drift, and figures/strict is set" : finishing ? "the relay is finishing" : ledger.open() >= config.open ? "limits/open is reached"
             : asked.client.open() > config.openPerClient ? "limits/open-per-client is reached" : null;
         if (full != null) {
             accounts.begin(accounts.calls, 0, 2);
--- a/src/test/java/sprucerock/ArchitectureTest.java
+++ b/src/test/java/sprucerock/ArchitectureTest.java
@@ -31,11 +31,12 @@
             {"net.nio", "time net"},
             {"wire", "time stats net wire.v1"},
             {"config", "time model wire"},
+            {"figures", "ledger"},
             {"relay", "time stats model host ledger config net wire wire.v1"},
             {"trace", "time net net.nio wire wire.v1"},
             {"judge", "time trace wire wire.v1"},
             {"standin", "time stats net trace wire wire.v1"},
-            {"rehearsal", "time net net.nio trace judge standin wire wire.v1"},
+            {"rehearsal", "time net net.nio trace judge figures ledger standin wire wire.v1"},
         };
     }
 
--- a/src/test/java/sprucerock/rehearsal/ScriptTest.java
+++ b/src/test/java/sprucerock/rehearsal/ScriptTest.java
@@ -64,6 +64,7 @@
         boolean kept = Rehearsal.play(script, into, new PrintStream(folder.resolve("out").toFile()));
         String report = Files.readString(into.resolve("report.txt"));
         assertTrue(kept, report);
+        assertTrue(report.contains("relay 1: every one accounted for"), report);
         assertTrue(report.contains("relay 1: 2 runs, ended in good order"), report);
         assertTrue(Files.readString(into.resolve("standins.trace")).contains("DESK"), "the desk took part");
         remove(folder);
