--- a/src/main/java/sprucerock/cli/RelayCommand.java
+++ b/src/main/java/sprucerock/cli/RelayCommand.java
@@ -10,6 +10,7 @@
 import sprucerock.Policy;
 import sprucerock.config.ConfigException;
 import sprucerock.config.RelayConfig;
+import sprucerock.figures.Export;
 import sprucerock.figures.Keeper;
 import sprucerock.ledger.Accounts;
 import sprucerock.net.nio.NioLoop;
@@ -52,9 +53,7 @@
                 }
                 relay.set(new Relay(config, loop, trace == null ? Tap.NONE : tracing.get()));
                 Accounts accounts = relay.get().ledger().accounts();
-                if (config.figures != null) {
-                    keeper.set(Keeper.open(config.figures, accounts, () -> loop.atTurnsEnd(accounts::commit), relay.get()::figuresFile));
-                }
+                keeper.set(Keeper.open(config.figures, accounts, () -> loop.atTurnsEnd(accounts::commit), relay.get()::figuresFile));
                 relay.get().start(Policy::new);
             } catch (IOException e) {
                 wrong.set(e);
@@ -66,9 +65,16 @@
         if (wrong.get() != null) {
             throw new IOException(config.listen + " can't be listened at, or the trace can't be written: " + wrong.get().getMessage());
         }
+        if (config.scrapedAt != null) {
+            try {
+                new Export(keeper.get()::snapshot, relay.get()::drifting, config.scrapedAt);
+            } catch (IOException e) {
+                throw new IOException(config.scrapedAt + " can't be scraped at: " + e.getMessage());
+            }
+        }
         Thread stopper = new Thread(() -> {
             loop.post(() -> relay.get().finish(() -> {
-                if (keeper.get() != null) keeper.get().close();
+                keeper.get().close();
                 if (tracing.get() != null) tracing.get().note("END", "in good order");
                 loop.atTurnsEnd(ended::countDown);
             }));
--- a/src/main/java/sprucerock/config/RelayConfig.java
+++ b/src/main/java/sprucerock/config/RelayConfig.java
@@ -41,6 +41,8 @@
     public final Span pauseMost;
     /** Where figures are kept through the relay's lives; null: in memory only. */
     public final Path figures;
+    /** Where they can be scraped; null: nowhere. */
+    public final InetSocketAddress scrapedAt;
     /** Once figures drift, no new RPC is taken. */
     public final boolean strict;
     public final Settings settings;
@@ -83,7 +85,8 @@
         atLeast(connections, "pause-first", Span.ofMs(1));
         atLeast(connections, "pause-most", pauseFirst);
         Node kept = root.child("figures");
-        figures = kept == null ? null : Path.of(kept.text("file"));
+        figures = kept == null || !kept.has("file") ? null : Path.of(kept.text("file"));
+        scrapedAt = kept == null || !kept.has("port") ? null : address(kept);
         strict = kept != null && kept.flag("strict");
         Node site = root.child("site");
         int number = root.count("number");
--- a/src/main/java/sprucerock/figures/Keeper.java
+++ b/src/main/java/sprucerock/figures/Keeper.java
@@ -35,13 +35,14 @@
 
     /**
      * Goes on from a file, or begins one. Nothing that is wrong with it stops the relay: what can't be read is kept aside,
-     * a disk that takes nothing leaves the figures in memory; {@code say} is told in one line.
+     * a disk that takes nothing leaves the figures in memory; {@code say} is told in one line. Without a file, null, they are
+     * in memory from the first.
      */
     public static Keeper open(Path file, Accounts accounts, Runnable onFirstPostingOfATurn, Consumer<String> say) {
         long generation = 1;
         int found = FRESH;
         try {
-            if (Files.exists(file)) {
+            if (file != null && Files.exists(file)) {
                 Snapshot last = Snapshot.read(file);
                 carry(last, accounts);
                 generation = last.generation + 1;
@@ -61,7 +62,7 @@
         Pages pages = new Pages(new BufferMemory(bytes), layout, accounts.size(), accounts.rows(), generation);
         accounts.keepIn(pages, onFirstPostingOfATurn);
         try {
-            pages.moveTo(new BufferMemory(place(file, bytes)));
+            if (file != null) pages.moveTo(new BufferMemory(place(file, bytes)));
         } catch (IOException e) {
             say.accept(file + ": can't be written: " + e.getMessage() + "; figures stay in memory until the next start");
         }
@@ -110,6 +111,15 @@
         }
     }
 
+    /** All figures at the end of a turn; from any thread, without holding the relay up. */
+    public Snapshot snapshot() {
+        try {
+            return Snapshot.read(pages.memory(), "this relay");
+        } catch (Snapshot.BadFileException e) {
+            throw new IllegalStateException(e.getMessage());
+        }
+    }
+
     /** The relay ends in good order. */
     public void close() {
         accounts.move(accounts.starts, 0, RUNNING, ENDED);
--- a/src/main/java/sprucerock/figures/Pages.java
+++ b/src/main/java/sprucerock/figures/Pages.java
@@ -32,7 +32,7 @@
     private int beforeCount;
     private long check;
     private long sequence;
-    private Memory memory;
+    private volatile Memory memory; // written by the relay, read by whoever scrapes
 
     /** A fresh file in memory that is all zero. */
     Pages(Memory memory, String layout, int values, int rows, long generation) {
@@ -72,6 +72,10 @@
         memory = other;
     }
 
+    Memory memory() {
+        return memory;
+    }
+
     private void putBytes(int at, byte[] bytes) {
         for (int i = 0; i < bytes.length; i += 8) {
             long piece = 0;
--- a/src/main/java/sprucerock/relay/Relay.java
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -63,7 +63,7 @@
     private Net.Listener listener;
     private long lastRpc;
     private boolean finishing;
-    private boolean drifting;
+    private volatile boolean drifting; // written by the loop, read by whoever scrapes
     private Runnable finished;
 
     /** Nothing is opened yet, see {@link #start}. */
@@ -109,6 +109,11 @@
         events.warn(Events.Kind.FIGURES_FILE, what);
     }
 
+    /** Some sum did not hold since this start; it stays so until the next. */
+    public boolean drifting() {
+        return drifting;
+    }
+
     private void checkFigures() {
         List<Accounts.Drift> drifts = accounts.check();
         long open = accounts.sum(accounts.rpcs, accounts.rpcs.pending());
