--- a/src/main/java/sprucerock/config/RelayConfig.java
+++ b/src/main/java/sprucerock/config/RelayConfig.java
@@ -32,6 +32,8 @@
     public final long peerUnsent;
     /** How long open RPCs may take to end once the relay is told to. */
     public final Span finishWithin;
+    /** How long the first list and news may take before clients are let in without them. */
+    public final Span waitForList;
     public final Span connectWithin;
     public final int connectionsPerUnit;
     public final int picksEach;
@@ -73,6 +75,7 @@
         atLeast(limits, "beat", Span.ofMs(10));
         peerUnsent = limits.bytes("peer-unsent");
         finishWithin = limits.span("finish-within");
+        waitForList = limits.span("wait-for-list");
         Node connections = root.child("connections");
         connectWithin = connections.span("connect-within");
         connectionsPerUnit = connections.count("per-unit");
--- a/src/main/java/sprucerock/net/Net.java
+++ b/src/main/java/sprucerock/net/Net.java
@@ -7,13 +7,20 @@
 
 /** Where links come from. Everything is called, and calls back, on the loop's one thread. */
 public interface Net extends Timers {
+    /** The same as {@link #bind}, and takes connections at once. */
+    default Listener listen(InetSocketAddress at, int most, long mostUnsent, Supplier<LinkUser> users) throws IOException {
+        Listener listener = bind(at, most, mostUnsent, users);
+        listener.take();
+        return listener;
+    }
+
     /**
-     * Takes connections at an address; each gets a user of its own. Beyond {@code most} open at a time, one is closed
+     * Has an address, and takes connections there once it is told to; each gets a user of its own. Beyond {@code most} open at a time, one is closed
      * as soon as it is accepted.
      *
      * @throws IOException if the address can't be had
      */
-    Listener listen(InetSocketAddress at, int most, long mostUnsent, Supplier<LinkUser> users) throws IOException;
+    Listener bind(InetSocketAddress at, int most, long mostUnsent, Supplier<LinkUser> users) throws IOException;
 
     /**
      * Begins to connect. The user is told that it is up, or that it is closed: at once refused, or at the latest when
@@ -25,6 +32,9 @@
     interface Listener {
         InetSocketAddress address();
 
+        /** Takes connections from now on; those that came before have waited in the system's queue. */
+        void take();
+
         /** Takes no more connections; those that are open stay. */
         void close();
     }
--- a/src/main/java/sprucerock/net/nio/NioLoop.java
+++ b/src/main/java/sprucerock/net/nio/NioLoop.java
@@ -186,7 +186,7 @@
     }
 
     @Override
-    public Listener listen(InetSocketAddress at, int most, long mostUnsent, Supplier<LinkUser> users)
+    public Listener bind(InetSocketAddress at, int most, long mostUnsent, Supplier<LinkUser> users)
         throws IOException {
         AsynchronousServerSocketChannel server = AsynchronousServerSocketChannel.open(group);
         try {
@@ -195,9 +195,7 @@
             server.close();
             throw e;
         }
-        Door door = new Door(server, most, mostUnsent, users);
-        server.accept(null, door);
-        return door;
+        return new Door(server, most, mostUnsent, users);
     }
 
     private final class Door implements Listener, CompletionHandler<AsynchronousSocketChannel, Void> {
@@ -240,6 +238,11 @@
             });
         }
 
+        @Override
+        public void take() {
+            server.accept(null, this);
+        }
+
         @Override
         public InetSocketAddress address() {
             try {
--- a/src/main/java/sprucerock/relay/DeskLink.java
+++ b/src/main/java/sprucerock/relay/DeskLink.java
@@ -37,11 +37,14 @@
     private final Consumer<Reply> answered;
     private final Redial redial;
     private final Map<Long, Timer> votes = new HashMap<>();
+    private final Runnable learnt;
     private long lastVote;
+    private boolean told;
     private boolean stopping;
 
     DeskLink(Net net, RelayConfig config, Hello mine, Tap tap, Ledger ledger, Events events, Chance chance,
-        Consumer<Reply> answered) {
+        Consumer<Reply> answered, Runnable learnt) {
+        this.learnt = learnt;
         this.net = net;
         this.config = config;
         this.ledger = ledger;
@@ -59,6 +62,11 @@
         redial.stop();
     }
 
+    /** News has come since the start. */
+    boolean told() {
+        return told;
+    }
+
     void vote(Build build, int stage, Verdict verdict) {
         long id = ++lastVote;
         Accounts accounts = ledger.accounts();
@@ -115,6 +123,8 @@
         }
         Span lasted = Span.ofMs(Math.max(0, news.getLastedUs()) / 1000.0);
         ledger.news(news.getBuild(), news.getStage(), standing, news.getCap(), net.now().minus(lasted));
+        told = true;
+        learnt.run();
     }
 
     private void counts(Counts counts) {
--- a/src/main/java/sprucerock/relay/Relay.java
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -62,6 +62,7 @@
     private Module module;
     private Net.Listener listener;
     private long lastRpc;
+    private boolean taking;
     private boolean finishing;
     private volatile boolean drifting; // written by the loop, read by whoever scrapes
     private Runnable finished;
@@ -79,8 +80,9 @@
         mine = Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.RELAY).setNumber(config.settings.index)
             .setName(config.name).build();
         peers = new Peers(net, config, mine, tap, events, chance, accounts);
-        desk = new DeskLink(net, config, mine, tap, ledger, events, chance, reply -> module.voteAnswered(reply));
-        roster = new RosterLink(net, config, mine, tap, ledger, events, chance, this, () -> module.listFailed());
+        desk = new DeskLink(net, config, mine, tap, ledger, events, chance, reply -> module.voteAnswered(reply), this::learnt);
+        roster = new RosterLink(net, config, mine, tap, ledger, events, chance, this, () -> module.listFailed(),
+            this::learnt);
     }
 
     /**
@@ -91,19 +93,35 @@
     public void start(Maker maker) throws IOException {
         module = maker.make(this, config.settings, config.seed);
         ledger.tell(module);
-        listener = net.listen(config.listen, config.clients, config.link.unsent(), () -> {
+        listener = net.bind(config.listen, config.clients, config.link.unsent(), () -> {
             ClientLink client = new ClientLink(this);
             clients.add(client);
             return new FrameLink(net, mine, config.link, tap, client);
         });
         roster.start();
         desk.start();
-        events.info(Events.Kind.STARTED, "relay " + config.name + ", number " + config.settings.index + " of "
-            + config.settings.relays + ", listens at " + listener.address());
+        net.at(net.now().plus(config.waitForList), () -> letClientsIn("without list or news, which did not come in time"));
         net.at(net.now().plus(FIGURES), this::figures);
         checkFigures();
     }
 
+    /**
+     * A relay that has just started knows no unit and could only push back what comes: so clients wait in the system's queue
+     * until the first list and news are there, or for as long as configured.
+     */
+    private void letClientsIn(String how) {
+        if (taking || finishing) return;
+        taking = true;
+        listener.take();
+        events.info(Events.Kind.STARTED, "relay " + config.name + ", number " + config.settings.index + " of "
+            + config.settings.relays + ", listens at " + listener.address() + ", " + how);
+    }
+
+    /** The first list has come, or the first news. */
+    void learnt() {
+        if (roster.listed() && desk.told()) letClientsIn("with list and news");
+    }
+
     /** Says that something is the matter with the file of figures, which never stops routing. */
     public void figuresFile(String what) {
         events.warn(Events.Kind.FIGURES_FILE, what);
--- a/src/main/java/sprucerock/relay/RosterLink.java
+++ b/src/main/java/sprucerock/relay/RosterLink.java
@@ -41,11 +41,14 @@
     private final Runnable listFailed;
     private final Redial redial;
     private final Map<Long, Run> runs = new HashMap<>();
+    private final Runnable learnt;
+    private boolean listed;
     private boolean asked;
     private boolean stopping;
 
     RosterLink(Net net, RelayConfig config, Hello mine, Tap tap, Ledger ledger, Events events, Chance chance,
-        UnitLinks.Owner owner, Runnable listFailed) {
+        UnitLinks.Owner owner, Runnable listFailed, Runnable learnt) {
+        this.learnt = learnt;
         this.net = net;
         this.config = config;
         this.ledger = ledger;
@@ -65,6 +68,11 @@
         redial.stop();
     }
 
+    /** A whole list has come since the start. */
+    boolean listed() {
+        return listed;
+    }
+
     /** The module asks for the list and its changes; where the roster is away, it is told so. */
     void subscribe() {
         if (redial.send(Kind.WATCH, Watch.getDefaultInstance(), ClientLink.NO_BODY)) asked = true;
@@ -104,6 +112,8 @@
         }
         if (listing.getForm() == Form.WHOLE) {
             for (Unit unit : ledger.units()) if (!named.contains(unit.id)) removed(unit);
+            listed = true;
+            learnt.run();
         }
     }
 
