--- a/src/main/java/sprucerock/bench/Bench.java
+++ b/src/main/java/sprucerock/bench/Bench.java
@@ -11,6 +11,7 @@
 import sprucerock.Policy;
 import sprucerock.config.ConfigException;
 import sprucerock.config.RelayConfig;
+import sprucerock.figures.Keeper;
 import sprucerock.net.nio.NioLoop;
 import sprucerock.relay.Relay;
 import sprucerock.wire.Tap;
@@ -118,9 +119,13 @@
             """.formatted(fleet.rosterPort(), fleet.deskPort()));
         RelayConfig config = RelayConfig.read(file);
         Files.delete(file);
+        Path figures = Files.createTempFile("bench", ".figures");
+        Files.delete(figures);
+        figures.toFile().deleteOnExit();
         Relay relay = Loops.on(loop, () -> {
             Relay made = new Relay(config, loop, Tap.NONE);
             made.start(Policy::new);
+            Keeper.open(figures, made.ledger().accounts(), () -> loop.atTurnsEnd(made.ledger().accounts()::commit), out::println);
             return made;
         });
         Thread.sleep(300); // linked up
--- a/src/main/java/sprucerock/cli/BenchCommand.java
+++ b/src/main/java/sprucerock/cli/BenchCommand.java
@@ -4,6 +4,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import sprucerock.bench.Bench;
+import sprucerock.bench.Postings;
 
 @Command(name = "bench", mixinStandardHelpOptions = true,
     description = "Measures the relay beside a bare forwarder and the straight way, on loopback, for a few minutes.")
@@ -20,10 +21,17 @@
     @Option(names = "--shares", split = ",", defaultValue = "0.5,0.1", description = "of the relay's rate, at which times are taken")
     private double[] shares;
 
+    @Option(names = "--postings", description = "measures only what the figures of an RPC cost")
+    private boolean postings;
+
     @Override
     public Integer call() throws Exception {
         Logs.to(Logs.Form.PLAIN);
         ((ch.qos.logback.classic.Logger) org.slf4j.LoggerFactory.getLogger("sprucerock")).setLevel(ch.qos.logback.classic.Level.ERROR);
+        if (postings) {
+            Postings.run(System.out);
+            return Commands.DONE;
+        }
         Bench bench = new Bench(System.out, new Bench.Lengths(seconds, seconds), shares);
         for (int many : units) for (int some : connections) bench.run(some, many);
         return Commands.DONE;
