--- a/src/main/java/sprucerock/host/Host.java
+++ b/src/main/java/sprucerock/host/Host.java
@@ -28,10 +28,18 @@
     void wake(Moment when, Runnable what);
 
     /** The same, unless the RPC has ended by then: a host need not keep hold of what is over. */
-    void wake(Rpc rpc, Moment when, Runnable what);
+    default void wake(Rpc rpc, Moment when, Runnable what) {
+        wake(when, () -> {
+            if (!rpc.ended()) what.run();
+        });
+    }
 
     /** The same, unless the pick has ended by then. */
-    void wake(Pick pick, Moment when, Runnable what);
+    default void wake(Pick pick, Moment when, Runnable what) {
+        wake(when, () -> {
+            if (pick.outcome() == null) what.run();
+        });
+    }
 
     void vote(Build build, int stage, Verdict verdict);
 
--- a/src/main/java/sprucerock/sim/Relay.java
+++ b/src/main/java/sprucerock/sim/Relay.java
@@ -288,20 +288,6 @@
         open(50).u32(token).f64(when.ms()).close();
     }
 
-    @Override
-    public void wake(Rpc rpc, Moment when, Runnable what) {
-        wake(when, () -> {
-            if (!rpc.ended()) what.run();
-        });
-    }
-
-    @Override
-    public void wake(Pick pick, Moment when, Runnable what) {
-        wake(when, () -> {
-            if (pick.outcome() == null) what.run();
-        });
-    }
-
     @Override
     public void vote(Build build, int stage, Verdict verdict) {
         int code = switch (verdict) {
--- a/src/test/java/sprucerock/FakeHost.java
+++ b/src/test/java/sprucerock/FakeHost.java
@@ -200,20 +200,6 @@
         timers.add(new Timer(when, made++, what));
     }
 
-    @Override
-    public void wake(Rpc rpc, Moment when, Runnable what) {
-        wake(when, () -> {
-            if (!rpc.ended()) what.run();
-        });
-    }
-
-    @Override
-    public void wake(Pick pick, Moment when, Runnable what) {
-        wake(when, () -> {
-            if (pick.outcome() == null) what.run();
-        });
-    }
-
     @Override
     public void vote(Build build, int stage, Verdict verdict) {
         votes.add(verdict);
