--- a/src/main/antlr4/sprucerock/rehearsal/Day.g4
+++ b/src/main/antlr4/sprucerock/rehearsal/Day.g4
@@ -37,14 +37,14 @@
   | 'units' PERCENT ill 'for' SPAN                                                          # unitsIll
   | 'relay' INT (how=('killed' | 'stopped' | 'stalls') | 'busy' 'times' number) 'for' SPAN   # relay
   | 'traffic' 'times' number 'for' SPAN                                                     # burst
-  | 'customer' NAME 'times' number 'for' SPAN                                               # customerBurst
+  | 'customer' NAME ('times' number | 'rude') 'for' SPAN                                    # customerIll
   | 'everything' 'slow' 'times' number 'for' SPAN                                           # everythingSlow
   | 'method' NAME 'slow' 'times' number 'for' SPAN                                          # methodSlow
   | 'messages' ('lost' PERCENT | 'late' late=SPAN) 'for' length=SPAN                        # messages
   | 'roster' ('late' late=SPAN | 'down') 'for' length=SPAN                                  # rosterIll
   | 'desk' ('late' late=SPAN | 'down') 'for' length=SPAN                                    # deskIll
   | 'counts' 'late' late=SPAN 'for' length=SPAN                                             # countsLate
-  | 'zone' INT 'link' late=SPAN 'for' length=SPAN                                           # zoneLink
+  | 'zone' INT 'link' late=SPAN ('losing' PERCENT)? 'for' length=SPAN                       # zoneLink
   | 'clients' 'rude' 'for' SPAN                                                             # rude
   ;
 
@@ -64,7 +64,7 @@
   : 'hangs'
   | 'fails' PERCENT
   | 'slow' 'times' number
-  | 'loses' 'answers'
+  | 'loses' PERCENT? 'answers'
   | 'talks' 'rubbish'
   | 'neighbour' PERCENT
   | 'pauses' pause=SPAN 'every' every=SPAN
--- a/src/main/java/sprucerock/rehearsal/Play.java
+++ b/src/main/java/sprucerock/rehearsal/Play.java
@@ -436,8 +436,8 @@
         loop.at(loop.now().plus(begin ? forOn : forOff), () -> alternate(unit, spell, !begin, on, off, forOn, forOff));
     }
 
-    void zoneLink(int zone, Span delay) {
-        for (UnitStandIn unit : units.values()) if (unit.zone == zone) unit.linkDelay(delay);
+    void zoneLink(int zone, Span delay, double loses) {
+        for (UnitStandIn unit : units.values()) if (unit.zone == zone) unit.link(delay, loses);
     }
 
     // What befalls relays and clients.
@@ -487,6 +487,10 @@
         clients.forEach(own -> own.forEach(client -> client.rude(on)));
     }
 
+    void rude(int customer, boolean on) {
+        clients.forEach(own -> own.forEach(client -> client.rude(customer, on)));
+    }
+
     /** After the day: how many units were pushed over. */
     void count() {
         fallen = (int) units.values().stream().filter(UnitStandIn::hasFallen).count();
--- a/src/main/java/sprucerock/rehearsal/Script.java
+++ b/src/main/java/sprucerock/rehearsal/Script.java
@@ -442,7 +442,10 @@
                     double times = factor(c.number());
                     yield (unit, on, play) -> unit.slow(on ? times : 1);
                 }
-                case "loses" -> (unit, on, play) -> unit.loseAnswers(on);
+                case "loses" -> {
+                    double share = c.PERCENT() == null ? 1 : share(c.PERCENT().getSymbol());
+                    yield (unit, on, play) -> unit.loseAnswers(on ? share : 0);
+                }
                 case "talks" -> (unit, on, play) -> unit.rubbish(on);
                 case "neighbour" -> {
                     double share = Math.min(0.99, share(c.PERCENT().getSymbol()));
@@ -483,8 +486,11 @@
         }
 
         @Override
-        public Void visitCustomerBurst(DayParser.CustomerBurstContext c) {
+        public Void visitCustomerIll(DayParser.CustomerIllContext c) {
             int customer = customer(c.NAME().getSymbol());
+            if (c.number() == null) {
+                return lasting(c.SPAN().getSymbol(), play -> play.rude(customer, true), play -> play.rude(customer, false));
+            }
             double times = factor(c.number());
             return lasting(c.SPAN().getSymbol(), play -> play.customerTimes(customer, times),
                 play -> play.customerTimes(customer, 1));
@@ -538,7 +544,8 @@
         public Void visitZoneLink(DayParser.ZoneLinkContext c) {
             int zone = whole(c.INT().getSymbol(), 60_000);
             Span late = span(c.late);
-            return lasting(c.length, play -> play.zoneLink(zone, late), play -> play.zoneLink(zone, Span.ZERO));
+            double loses = c.PERCENT() == null ? 0 : share(c.PERCENT().getSymbol());
+            return lasting(c.length, play -> play.zoneLink(zone, late, loses), play -> play.zoneLink(zone, Span.ZERO, 0));
         }
 
         @Override
--- a/src/main/java/sprucerock/rehearsal/SecondBook.java
+++ b/src/main/java/sprucerock/rehearsal/SecondBook.java
@@ -4,13 +4,17 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import sprucerock.figures.Snapshot;
 import sprucerock.ledger.Accounts;
 import sprucerock.trace.Line;
 import sprucerock.wire.Kind;
 import sprucerock.wire.v1.Answer;
+import sprucerock.wire.v1.Call;
 import sprucerock.wire.v1.Ending;
+import sprucerock.wire.v1.Leave;
 
 /**
  * Holds each relay's figures against what crossed its links, to the last RPC, through all its lives. The two are kept apart:
@@ -22,7 +26,7 @@
     record Entry(String what, long figures, long frames, long cutOff, boolean holds) {
         @Override
         public String toString() {
-            return what + " " + figures + ", crossed " + frames + (cutOff > 0 ? ", " + cutOff + " in turns that a kill cut off" : "")
+            return what + " " + figures + ", crossed " + frames + (holds && cutOff > 0 ? ", " + cutOff + " in turns that a kill cut off" : "")
                 + (holds ? "" : ": DIFFERS");
         }
     }
@@ -48,20 +52,31 @@
         long[] works = new long[2];
         long[] votes = new long[2];
         long[] told = new long[2];
-        long left = 0;
+        long[] left = new long[2];
         for (int run = 1; Files.exists(folder.resolve("relay-" + relay + "." + run + ".trace")); run++) {
             List<Line> lines = Line.read(folder.resolve("relay-" + relay + "." + run + ".trace"));
             boolean ended = lines.stream().anyMatch(line -> line.isNote("END"));
             long cutFrom = ended || lines.isEmpty() ? Long.MAX_VALUE : lines.get(lines.size() - 1).us() - LAST_TURN_US;
+            Set<String> open = new HashSet<>();
             for (Line line : lines) {
                 int late = line.us() >= cutFrom ? 1 : 0;
-                if (line.is('<', Kind.CALL)) add(calls, late);
-                else if (line.is('>', Kind.WORK)) add(works, late);
+                if (line.is('<', Kind.CALL)) {
+                    add(calls, late);
+                    open.add(line.link() + "/" + line.head(Call.getDefaultInstance()).getId());
+                } else if (line.is('<', Kind.LEAVE)) {
+                    // one whose answer was on its way already leaves nothing
+                    if (open.remove(line.link() + "/" + line.head(Leave.getDefaultInstance()).getId())) add(left, late);
+                } else if (line.way() == 'x') {
+                    String link = line.link() + "/";
+                    for (String one : List.copyOf(open)) if (one.startsWith(link) && open.remove(one)) add(left, late);
+                }
+                if (line.is('>', Kind.WORK)) add(works, late);
                 else if (line.is('>', Kind.VOTE)) add(votes, late);
                 else if (line.is('>', Kind.TOLD)) add(told, late);
-                else if (line.is('<', Kind.LEAVE)) left++;
                 else if (line.is('>', Kind.ANSWER)) {
-                    Ending ending = line.head(Answer.getDefaultInstance()).getEnding();
+                    Answer answer = line.head(Answer.getDefaultInstance());
+                    Ending ending = answer.getEnding();
+                    open.remove(line.link() + "/" + answer.getId());
                     add(ending == Ending.OK ? ok : ending == Ending.PUSHED_BACK ? back : aborted, late);
                 }
             }
@@ -86,8 +101,7 @@
         long unanswered = v[accounts.votes.index(0, 5)] + v[accounts.votes.index(0, accounts.votes.lost())];
         found.add(new Entry("votes cast, " + unanswered + " of them unanswered", cast, votes[0], votes[1],
             votes[0] <= cast + votes[1] && cast - unanswered <= votes[0]));
-        long gone = sum(accounts, v, 4);
-        found.add(new Entry("RPCs whose clients left, by frame or with their links", gone, left, 0, left <= gone + calls[1]));
+        found.add(same("RPCs whose clients left, by frame or with their links", sum(accounts, v, 4), left));
         for (Accounts.Drift drift : accounts.check(v)) found.add(new Entry(drift.toString(), drift.left(), drift.right(), 0, false));
         return found;
     }
--- a/src/main/java/sprucerock/standin/ClientStandIn.java
+++ b/src/main/java/sprucerock/standin/ClientStandIn.java
@@ -77,6 +77,7 @@
     private double perSecond;
     private double times = 1;
     private boolean rude;
+    private int rudeCustomer = -1;
     private boolean stopped;
 
     private final class Try {
@@ -131,6 +132,15 @@
         rude = on;
     }
 
+    /** The same for one customer's RPCs. */
+    public void rude(int customer, boolean on) {
+        rudeCustomer = on ? customer : -1;
+    }
+
+    private boolean rude(Order order) {
+        return rude || order.customer == rudeCustomer;
+    }
+
     private void next() {
         if (stopped) return;
         double sum = 0;
@@ -242,12 +252,12 @@
         End how = pushedBack ? End.PUSHED_BACK : End.ABORTED;
         boolean may = pushedBack || mayRepeat(order);
         Span told = Span.ofMs(answer.getWaitUs() / 1000.0);
-        Span wait = rude ? Span.ofMs(1) : manners.pause().times(0.5 + chance.nextDouble()).atLeast(told);
+        Span wait = rude(order) ? Span.ofMs(1) : manners.pause().times(0.5 + chance.nextDouble()).atLeast(told);
         again(order, may, how, wait);
     }
 
     private void again(Order order, boolean may, End how, Span wait) {
-        int most = rude ? manners.retries() + 5 : manners.retries();
+        int most = rude(order) ? manners.retries() + 5 : manners.retries();
         if (!may || order.tries > most) end(order, how);
         else net.at(net.now().plus(wait), () -> attempt(order));
     }
--- a/src/main/java/sprucerock/standin/DeskStandIn.java
+++ b/src/main/java/sprucerock/standin/DeskStandIn.java
@@ -113,7 +113,7 @@
         return stage;
     }
 
-    /** Votes get no answer, and nothing is told. */
+    /** Votes get no answer, though half of them count once it is back; nothing is told. */
     public void down(boolean on) {
         down = on;
     }
@@ -235,7 +235,7 @@
     }
 
     private void take(Session session, Vote vote) {
-        if (down) return;
+        boolean silent = down;
         int relay = session.link.other().getNumber();
         boolean trial = standing == Stand.ON_TRIAL;
         boolean clocked = site.desk().control() == Site.Control.CLOCKED;
@@ -246,12 +246,14 @@
             case NOTHING -> true;
             default -> false;
         };
+        if (silent) fits &= chance.nextBoolean(); // half of what it does not answer counts all the same
         Taken taken = fits ? Taken.COUNTS : Taken.MOOT;
         ballots.add(new Ballot(net.now(), relay, vote.getBuild(), vote.getStage(), vote.getSay(), taken));
         if (fits) {
             Moment until = net.now().plus(site.desk().voteLife());
             votes.put(relay, new Standing(vote.getSay(), vote.getStage(), until));
         }
+        if (silent) return;
         session.link.send(Kind.VOTED, Voted.newBuilder().setId(vote.getId()).setTaken(taken).build(), NO_BODY);
         if (fits) weigh();
     }
--- a/src/main/java/sprucerock/standin/UnitStandIn.java
+++ b/src/main/java/sprucerock/standin/UnitStandIn.java
@@ -68,7 +68,8 @@
 
     private boolean draining;
     private boolean hangs;
-    private boolean losesAnswers;
+    private double losesAnswers;
+    private double linkLoses;
     private boolean rubbish;
     private double fails;
     private double slow = 1;
@@ -156,8 +157,9 @@
         if (!on) pump();
     }
 
-    public void loseAnswers(boolean on) {
-        losesAnswers = on;
+    /** This share of its answers never arrives. */
+    public void loseAnswers(double share) {
+        losesAnswers = share;
     }
 
     /** Answers with bytes that are not the protocol. */
@@ -192,8 +194,10 @@
         }
     }
 
-    public void linkDelay(Span oneWay) {
+    /** Its link takes longer each way, and loses this share of what passes either way. */
+    public void link(Span oneWay, double loses) {
         linkDelay = oneWay;
+        linkLoses = loses;
     }
 
     private FrameLink session() {
@@ -227,6 +231,7 @@
 
         @Override
         public void frame(Kind kind, MessageLite head, byte[] body) {
+            if (lost(linkLoses)) return;
             if (linkDelay.over(Span.ZERO)) net.at(net.now().plus(linkDelay), () -> take(kind, head, body));
             else take(kind, head, body);
         }
@@ -374,9 +379,13 @@
         pump();
     }
 
+    private boolean lost(double share) {
+        return share > 0 && chance.nextDouble() < share;
+    }
+
     private void reply(Job job, Result result, byte[] body) {
         job.session.jobs.remove(job.work.getId());
-        if (losesAnswers) return;
+        if (lost(losesAnswers) || lost(linkLoses)) return;
         Done done = Done.newBuilder().setId(job.work.getId()).setResult(result).build();
         Runnable send = () -> {
             if (rubbish) job.session.link.send(Kind.WORK, job.work, body); // what a unit never sends
--- a/src/test/java/sprucerock/standin/StandInTest.java
+++ b/src/test/java/sprucerock/standin/StandInTest.java
@@ -134,11 +134,11 @@
         work(relay, 2, 2, 0, 1000);
         net.pass(100);
         assertEquals(results(relay).stream().sorted().toList(), List.of("1 DONE", "2 ERROR"));
-        unit.loseAnswers(true);
+        unit.loseAnswers(1);
         work(relay, 3, 0, 0, 1000);
         net.pass(100);
         assertEquals(results(relay).size(), 2);
-        unit.loseAnswers(false);
+        unit.loseAnswers(0);
         unit.rubbish(true);
         work(relay, 4, 0, 0, 1000);
         net.pass(100);
@@ -273,6 +273,8 @@
         desk.down(true);
         vote(relay, 1, Say.BACK);
         assertEquals(taken(relay), List.of(Taken.COUNTS), "a desk that is down answers nothing");
+        net.pass(500);
+        assertEquals(desk.standing(), Stand.ON_TRIAL);
     }
 
     @Test
