--- a/src/main/java/sprucerock/figures/BufferMemory.java
+++ b/src/main/java/sprucerock/figures/BufferMemory.java
@@ -4,15 +4,18 @@
 import java.lang.invoke.VarHandle;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
+import java.nio.LongBuffer;
 
 /** A buffer, mapped or not. The kernel writes a mapped one back whatever becomes of the process. */
 final class BufferMemory implements Memory {
     private static final VarHandle LONGS = MethodHandles.byteBufferViewVarHandle(long[].class, ByteOrder.LITTLE_ENDIAN);
 
     private final ByteBuffer buffer;
+    private final LongBuffer longs;
 
     BufferMemory(ByteBuffer buffer) {
         this.buffer = buffer.order(ByteOrder.LITTLE_ENDIAN);
+        longs = buffer.duplicate().clear().order(ByteOrder.LITTLE_ENDIAN).asLongBuffer();
     }
 
     @Override
@@ -20,6 +23,12 @@
         return (long) LONGS.getAcquire(buffer, at);
     }
 
+    @Override
+    public void get(int at, long[] into, int from, int count) {
+        longs.get(at / 8, into, from, count);
+        VarHandle.acquireFence(); // what is read after this is newer
+    }
+
     @Override
     public void put(int at, long value) {
         // release, not plain: neither compiler nor processor may move it before what was put earlier
--- a/src/main/java/sprucerock/figures/Memory.java
+++ b/src/main/java/sprucerock/figures/Memory.java
@@ -4,6 +4,9 @@
 interface Memory {
     long get(int at);
 
+    /** Many at once, in no order: for what a checksum is held against. */
+    void get(int at, long[] into, int from, int count);
+
     void put(int at, long value);
 
     /** Written after all that was put before. */
--- a/src/main/java/sprucerock/figures/Snapshot.java
+++ b/src/main/java/sprucerock/figures/Snapshot.java
@@ -124,10 +124,8 @@
                 if (length < 0 || length > Pages.NAME - 8) throw new BadFileException(file + ": a name is damaged");
                 if (length == 0) continue;
                 if (names[row] == null) names[row] = new String(bytes(memory, nameAt + 8, (int) length), StandardCharsets.UTF_8);
-                for (int i = firsts[row]; i < firsts[row + 1]; i++) {
-                    values[i] = memory.get(at + i * 8);
-                    check += values[i] * Pages.weight(i);
-                }
+                memory.get(at + firsts[row] * 8, values, firsts[row], firsts[row + 1] - firsts[row]);
+                for (int i = firsts[row]; i < firsts[row + 1]; i++) check += values[i] * Pages.weight(i);
             }
             long own = memory.get(at + values.length * 8);
             boolean whole = memory.get(at + values.length * 8 + 8) == Pages.checksum(check, own) && (own & 1) == (sequence & 1);
--- a/src/main/java/sprucerock/ledger/Accounts.java
+++ b/src/main/java/sprucerock/ledger/Accounts.java
@@ -46,6 +46,10 @@
     public final Sheet latency;
     /** How long picks took that ended ok, by build and method; see {@link #tookRow}. */
     public final Sheet took;
+    /** Picks on their way to a connection: written as a frame, or ended before. */
+    public final Sheet frames;
+    /** Results of picks that had ended before, as of one that was out of time. */
+    public final Sheet lateResults;
     public final Sheet votes;
     public final Sheet messages;
     /** The relay's own starts: how each ended. */
@@ -78,6 +82,8 @@
         answers = sheet("answers", "method", methods.size() + 1, List.of("answered", "in_time", "late", "too_late"), false);
         latency = sheet("latency", "method", methods.size() + 1, Scale.columns("answered"), false);
         took = sheet("pick_latency", "build_and_method", (room.builds + 1) * (methods.size() + 1), Scale.columns("ok"), false);
+        frames = sheet("pick_frames", "relay", 1, List.of("wanted", "written", "unwritten", "lost", "waiting"));
+        lateResults = sheet("late_results", "relay", 1, List.of("came", "ok", "error", "full"), false);
         votes = sheet("votes", "relay", 1, List.of("cast", "counts", "moot", "too_many", "error", "unanswered", "lost", "waiting"));
         messages = sheet("messages", "relay", 1, List.of("told", "sent", "dropped", "lost", "queued"));
         starts = sheet("starts", "relay", 1, List.of("starts", "ended", "lost", "running"));
@@ -239,11 +245,18 @@
         begin(picks, method, picks.pending());
         begin(builds, build, builds.pending());
         begin(units, unit, units.pending());
+        begin(frames, 0, frames.pending());
         if (copy) begin(copies, build, copies.pending());
     }
 
+    /** It is on a connection. */
+    public void pickWritten() {
+        move(frames, 0, frames.pending(), 1);
+    }
+
     /** A pick ended: in a column of the picks' sheet, of which the first one is ok. */
-    public void pickEnded(int method, int build, int unit, boolean copy, int how, Span after) {
+    public void pickEnded(int method, int build, int unit, boolean copy, boolean written, int how, Span after) {
+        if (!written) move(frames, 0, frames.pending(), 2);
         move(picks, method, picks.pending(), how);
         move(builds, build, builds.pending(), how);
         move(units, unit, units.pending(), how == 1 ? 1 : 2);
@@ -323,6 +336,7 @@
         same(found, of, picks, 1, units, 1);
         same(found, of, picks, picks.pending(), units, units.pending());
         same(found, of, picks, picks.lost(), units, units.lost());
+        same(found, of, picks, 0, frames, 0);
         for (int row = 0; row < rpcs.rows(); row++) {
             same(found, of, cell(rpcs, row, 1), of[rpcs.index(row, 1)], answers, row);
             same(found, of, cell(answers, row, 0), of[answers.index(row, 0)], latency, row);
--- a/src/main/java/sprucerock/ledger/Ledger.java
+++ b/src/main/java/sprucerock/ledger/Ledger.java
@@ -120,7 +120,8 @@
         pick.unit.pickEnded();
         rpc.pickEnded();
         // the columns have the order of the outcomes
-        accounts.pickEnded(rpc.method.index, pick.unit.build.row(), pick.unit.row(), pick.copy, 1 + outcome.ordinal(), took);
+        accounts.pickEnded(rpc.method.index, pick.unit.build.row(), pick.unit.row(), pick.copy, pick.written(),
+            1 + outcome.ordinal(), took);
         boolean answers = closes && !rpc.ended();
         if (answers && outcome == Outcome.OK) answered(rpc, pick.sent.plus(took));
         else if (answers) close(rpc, ABORTED); // a stream that broke
@@ -218,6 +219,17 @@
         accounts.pickSent(pick.rpc.method.index, pick.unit.build.row(), pick.unit.row(), pick.copy);
     }
 
+    /** A pick was put on a connection to its unit. */
+    public void written(Pick pick) {
+        pick.write();
+        accounts.pickWritten();
+    }
+
+    /** The result of a pick came that had ended before; it changes nothing. */
+    public void lateResult(Outcome outcome) {
+        accounts.begin(accounts.lateResults, 0, outcome == Outcome.OK ? 1 : outcome == Outcome.FULL ? 3 : 2);
+    }
+
     public void pushedBack(Rpc rpc) {
         if (rpc.ended()) return;
         close(rpc, PUSHED_BACK);
--- a/src/main/java/sprucerock/model/Pick.java
+++ b/src/main/java/sprucerock/model/Pick.java
@@ -13,6 +13,7 @@
     public final Span patience;
     private Outcome outcome;
     private Span took;
+    private boolean written;
     /** What the relay's pool keeps with it; nobody else looks at it. */
     public Object door;
     /** Noted by the module, like those below: nothing came within the usual time. */
@@ -44,6 +45,16 @@
         took = after;
     }
 
+    /** Whether it is, or was, on a connection. */
+    public boolean written() {
+        return written;
+    }
+
+    @ByLedger
+    public void write() {
+        written = true;
+    }
+
     /** How long it took, or has taken so far. */
     public Span took(Moment now) {
         return took != null ? took : now.since(sent);
--- a/src/main/java/sprucerock/rehearsal/Play.java
+++ b/src/main/java/sprucerock/rehearsal/Play.java
@@ -20,7 +20,9 @@
 import sprucerock.net.nio.NioLoop;
 import sprucerock.standin.BuildFault;
 import sprucerock.standin.ClientStandIn;
+import sprucerock.standin.Counts;
 import sprucerock.standin.DeskStandIn;
+import sprucerock.standin.MonitorStandIn;
 import sprucerock.standin.RosterStandIn;
 import sprucerock.standin.Shared;
 import sprucerock.standin.Site;
@@ -54,6 +56,7 @@
     /** Traffic before the day's zero: relays in service are warm, and those of a day should be, too. */
     private static final Span LEAD_IN = Span.ofMs(3000);
     private static final int START_SECONDS = 30;
+    private static final long SCRAPE_MS = 250; // sixty times as often as a monitor does
     private static final int FIRST_BUILD = 1;
 
     private final Script day;
@@ -76,7 +79,9 @@
     final List<Offered> offered = new ArrayList<>();
     final List<Step> steps = new ArrayList<>();
     final Books books;
+    private final List<Integer> scraped = new ArrayList<>();
     private TraceWriter trace;
+    private MonitorStandIn monitor;
     private RosterStandIn roster;
     private DeskStandIn desk;
     private SwitchStandIn between;
@@ -99,6 +104,10 @@
         return day;
     }
 
+    MonitorStandIn monitor() {
+        return monitor;
+    }
+
     DeskStandIn desk() {
         return desk;
     }
@@ -129,6 +138,8 @@
             onLoop(this::set);
             for (RelayProcess relay : relays) relay.start();
             awaitRelays();
+            monitor = new MonitorStandIn(scraped, SCRAPE_MS);
+            monitor.start();
             onLoop(this::begin);
             Thread.sleep((long) LEAD_IN.ms());
             int seconds = (int) Math.ceil(day.lasts.ms() / 1000);
@@ -139,9 +150,11 @@
             }
             onLoop(() -> clients.forEach(some -> some.forEach(ClientStandIn::stop)));
             awaitAnswers();
+            monitor.close();
             for (RelayProcess relay : relays) if (relay.alive()) relay.stop();
             for (RelayProcess relay : relays) if (relay.end(20) != 0) relay.endedBadly();
             Thread.sleep(100);
+            onLoop(this::writeCounts);
         } finally {
             for (RelayProcess relay : relays) if (relay.alive()) relay.kill();
             loop.close();
@@ -198,7 +211,8 @@
         for (int i = 0; i < day.relays; i++) {
             Map<Integer, Integer> others = new TreeMap<>(ways);
             others.remove(i);
-            RelayXml.write(folder.resolve("relay-" + i + ".xml"), day, i, ports.get(i), rosterPort, deskPort,
+            scraped.add(freePort());
+            RelayXml.write(folder.resolve("relay-" + i + ".xml"), day, i, ports.get(i), scraped.get(i), rosterPort, deskPort,
                 day.peers ? others : Map.of());
             relays.add(new RelayProcess(i, folder));
             List<ClientStandIn> own = new ArrayList<>();
@@ -491,6 +505,15 @@
         clients.forEach(own -> own.forEach(client -> client.rude(customer, on)));
     }
 
+    /** Each stand-in's own word, to be held against the relays' figures. */
+    private void writeCounts() throws IOException {
+        Map<String, Counts> places = new TreeMap<>();
+        int number = 0;
+        for (List<ClientStandIn> own : clients) for (ClientStandIn client : own) places.put("client-" + number++, client.counts());
+        for (UnitStandIn unit : units.values()) places.put("unit-" + unit.id, unit.counts());
+        Counts.write(folder.resolve(FleetBook.COUNTS), places);
+    }
+
     /** After the day: how many units were pushed over. */
     void count() {
         fallen = (int) units.values().stream().filter(UnitStandIn::hasFallen).count();
--- a/src/main/java/sprucerock/rehearsal/Rehearsal.java
+++ b/src/main/java/sprucerock/rehearsal/Rehearsal.java
@@ -29,7 +29,10 @@
         List<List<SecondBook.Entry>> books = new ArrayList<>();
         for (int i = 0; i < play.relays().size(); i++) books.add(SecondBook.hold(folder, i));
         boolean balanced = books.stream().allMatch(book -> book.stream().allMatch(SecondBook.Entry::holds));
-        String report = Report.of(play, verdict, books);
+        List<FleetBook.Entry> fleet = FleetBook.hold(folder);
+        balanced &= fleet.stream().allMatch(entry -> entry.unexplained() == 0);
+        balanced &= play.monitor().scrapes() > 0 && play.monitor().wrong().isEmpty();
+        String report = Report.of(play, verdict, books, fleet);
         Files.writeString(folder.resolve("report.txt"), report);
         out.print(report);
         out.println();
--- a/src/main/java/sprucerock/rehearsal/RelayXml.java
+++ b/src/main/java/sprucerock/rehearsal/RelayXml.java
@@ -12,7 +12,7 @@
 final class RelayXml {
     private RelayXml() {}
 
-    static void write(Path file, Script day, int number, int port, int roster, int desk, Map<Integer, Integer> peers)
+    static void write(Path file, Script day, int number, int port, int figures, int roster, int desk, Map<Integer, Integer> peers)
         throws IOException {
         StringBuilder xml = new StringBuilder("<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n");
         xml.append(String.format(Locale.ROOT, "<relay xmlns=\"urn:sprucerock:relay:1\" name=\"relay-%d\" number=\"%d\" seed=\"%d\">%n",
@@ -20,7 +20,7 @@
         xml.append(address("listen", port, "")).append(address("roster", roster, "")).append(address("desk", desk, ""));
         peers.forEach((other, at) -> xml.append(address("peer", at, " number=\"" + other + "\"")));
         xml.append("  <limits/>\n  <connections/>\n  <figures file=\"" + file.resolveSibling("relay-" + number + ".figures").toAbsolutePath()
-            + "\"/>\n");
+            + "\" host=\"127.0.0.1\" port=\"" + figures + "\"/>\n");
         xml.append(String.format(Locale.ROOT, "  <site relays=\"%d\" tick=\"%s\" ask=\"%b\">%n", day.relays, span(day.tick), day.ask));
         for (Site.Method method : day.methods) {
             String effect = method.effect().name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/src/main/java/sprucerock/rehearsal/Report.java
+++ b/src/main/java/sprucerock/rehearsal/Report.java
@@ -19,7 +19,7 @@
 
     private Report() {}
 
-    static String of(Play play, Judge.Verdict verdict, List<List<SecondBook.Entry>> books) {
+    static String of(Play play, Judge.Verdict verdict, List<List<SecondBook.Entry>> books, List<FleetBook.Entry> fleet) {
         StringBuilder text = new StringBuilder();
         Script day = play.day();
         line(text, "");
@@ -37,6 +37,13 @@
                 relay.badEnds() == 0 ? "ended in good order" : "did not end in good order, see its log");
         }
         figures(text, books);
+        List<String> wrong = play.monitor().wrong();
+        line(text, "  %d scrapes while they ran, %d more met a relay that was down: %s", play.monitor().scrapes(), play.monitor().unanswered(),
+            wrong.isEmpty() ? "every sum holds in each" : "NOT ALL HOLD");
+        for (String one : wrong.subList(0, Math.min(MOST_FINDINGS, wrong.size()))) line(text, "    %s", one);
+        line(text, "");
+        line(text, "figures of all relays against what clients and units counted for themselves");
+        text.append(FleetBook.table(fleet));
         return text.toString();
     }
 
--- a/src/main/java/sprucerock/rehearsal/SecondBook.java
+++ b/src/main/java/sprucerock/rehearsal/SecondBook.java
@@ -9,12 +9,15 @@
 import java.util.Set;
 import sprucerock.figures.Snapshot;
 import sprucerock.ledger.Accounts;
+import sprucerock.ledger.Sheet;
 import sprucerock.trace.Line;
 import sprucerock.wire.Kind;
 import sprucerock.wire.v1.Answer;
 import sprucerock.wire.v1.Call;
+import sprucerock.wire.v1.Done;
 import sprucerock.wire.v1.Ending;
 import sprucerock.wire.v1.Leave;
+import sprucerock.wire.v1.Result;
 
 /**
  * Holds each relay's figures against what crossed its links, to the last RPC, through all its lives. The two are kept apart:
@@ -31,6 +34,15 @@
         }
     }
 
+    static final String CALLS = "calls received";
+    static final String OK = "answered ok";
+    static final String BACK = "pushed back or turned away";
+    static final String ABORTED = "aborted or refused";
+    static final String WORKS = "picks written to units";
+    static final String DONE = "results ok";
+    static final String ERROR = "results error";
+    static final String FULL = "results full";
+    static final String LEFT = "RPCs whose clients left, by frame or with their links";
     private static final long LAST_TURN_US = 20_000; // a turn is far shorter; kills are seconds apart
 
     private SecondBook() {}
@@ -50,6 +62,7 @@
         long[] back = new long[2];
         long[] aborted = new long[2];
         long[] works = new long[2];
+        long[][] results = new long[Result.values().length][2];
         long[] votes = new long[2];
         long[] told = new long[2];
         long[] left = new long[2];
@@ -71,6 +84,7 @@
                     for (String one : List.copyOf(open)) if (one.startsWith(link) && open.remove(one)) add(left, late);
                 }
                 if (line.is('>', Kind.WORK)) add(works, late);
+                else if (line.is('<', Kind.DONE)) add(results[line.head(Done.getDefaultInstance()).getResult().ordinal()], late);
                 else if (line.is('>', Kind.VOTE)) add(votes, late);
                 else if (line.is('>', Kind.TOLD)) add(told, late);
                 else if (line.is('>', Kind.ANSWER)) {
@@ -83,25 +97,20 @@
         }
         long[] v = snapshot.values;
         List<Entry> found = new ArrayList<>();
-        found.add(same("calls received", v[accounts.calls.index(0, 0)], calls));
-        found.add(same("answered ok", sum(accounts, v, 1), ok));
-        found.add(same("pushed back or turned away", sum(accounts, v, 2) + v[accounts.calls.index(0, 2)], back));
-        found.add(same("aborted or refused", sum(accounts, v, 3) + v[accounts.calls.index(0, 3)], aborted));
+        found.add(same(CALLS, v[accounts.calls.index(0, 0)], calls));
+        found.add(same(OK, sum(accounts.rpcs, v, 1), ok));
+        found.add(same(BACK, sum(accounts.rpcs, v, 2) + v[accounts.calls.index(0, 2)], back));
+        found.add(same(ABORTED, sum(accounts.rpcs, v, 3) + v[accounts.calls.index(0, 3)], aborted));
         found.add(same("messages sent", v[accounts.messages.index(0, 1)], told));
-        long sent = 0;
-        long unsent = 0;
-        for (int row = 0; row < accounts.picks.rows(); row++) {
-            sent += v[accounts.picks.index(row, 0)];
-            for (int column : new int[] {5, 8, accounts.picks.lost()}) unsent += v[accounts.picks.index(row, column)];
-        }
-        // a pick that found no connection, or was moot, may never have become a frame; every other one did
-        boolean picks = works[0] <= sent + works[1] && sent - unsent <= works[0];
-        found.add(new Entry("picks sent, " + unsent + " of them perhaps without a connection", sent, works[0], works[1], picks));
+        found.add(same(WORKS, v[accounts.frames.index(0, 1)], works));
+        found.add(same(DONE, sum(accounts.picks, v, 1) + v[accounts.lateResults.index(0, 1)], results[Result.DONE.ordinal()]));
+        found.add(same(ERROR, sum(accounts.picks, v, 2) + v[accounts.lateResults.index(0, 2)], results[Result.ERROR.ordinal()]));
+        found.add(same(FULL, sum(accounts.picks, v, 3) + v[accounts.lateResults.index(0, 3)], results[Result.FULL.ordinal()]));
         long cast = v[accounts.votes.index(0, 0)];
         long unanswered = v[accounts.votes.index(0, 5)] + v[accounts.votes.index(0, accounts.votes.lost())];
         found.add(new Entry("votes cast, " + unanswered + " of them unanswered", cast, votes[0], votes[1],
             votes[0] <= cast + votes[1] && cast - unanswered <= votes[0]));
-        found.add(same("RPCs whose clients left, by frame or with their links", sum(accounts, v, 4), left));
+        found.add(same(LEFT, sum(accounts.rpcs, v, 4), left));
         for (Accounts.Drift drift : accounts.check(v)) found.add(new Entry(drift.toString(), drift.left(), drift.right(), 0, false));
         return found;
     }
@@ -111,9 +120,10 @@
         count[1] += late;
     }
 
-    private static long sum(Accounts accounts, long[] values, int column) {
+    /** A column over all rows. */
+    static long sum(Sheet sheet, long[] values, int column) {
         long sum = 0;
-        for (int row = 0; row < accounts.rpcs.rows(); row++) sum += values[accounts.rpcs.index(row, column)];
+        for (int row = 0; row < sheet.rows(); row++) sum += values[sheet.index(row, column)];
         return sum;
     }
 
--- a/src/main/java/sprucerock/relay/Relay.java
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -285,6 +285,16 @@
         ledger.pickEnded(pick, outcome, net.now().since(pick.sent), answers || pick.rpc.ended());
     }
 
+    @Override
+    public void written(Exchange exchange) {
+        ledger.written(exchange.pick);
+    }
+
+    @Override
+    public void late(Outcome outcome) {
+        ledger.lateResult(outcome);
+    }
+
     @Override
     public void endsSoon(Exchange exchange, Outcome outcome) {
         net.atTurnsEnd(() -> ended(exchange, outcome, ClientLink.NO_BODY));
--- a/src/main/java/sprucerock/relay/UnitLink.java
+++ b/src/main/java/sprucerock/relay/UnitLink.java
@@ -64,6 +64,7 @@
         exchange.id = lastId;
         exchange.mark = link.send(Kind.WORK, work.build(), asked.body);
         live.put(lastId, exchange);
+        links.written(exchange);
         usedLast = now;
     }
 
@@ -93,18 +94,19 @@
             return;
         }
         Done done = (Done) head;
+        Outcome outcome = switch (done.getResult()) {
+            case DONE -> Outcome.OK;
+            case FULL -> Outcome.FULL;
+            default -> Outcome.ERROR;
+        };
         Exchange exchange = live.remove(done.getId());
         if (exchange == null) {
             // late, for one given up on; or an id that never was, which a unit can't use to gain room
             if (forsaken > 0 && done.getId() <= lastId) forsaken--;
+            links.late(outcome);
             links.emptied(this);
             return;
         }
-        Outcome outcome = switch (done.getResult()) {
-            case DONE -> Outcome.OK;
-            case FULL -> Outcome.FULL;
-            default -> Outcome.ERROR;
-        };
         links.ended(exchange, outcome, body);
         links.emptied(this);
     }
--- a/src/main/java/sprucerock/relay/UnitLinks.java
+++ b/src/main/java/sprucerock/relay/UnitLinks.java
@@ -28,6 +28,12 @@
         /** The same, but told once the module has returned from what it does now. */
         void endsSoon(Exchange exchange, Outcome outcome);
 
+        /** It is on a connection now. */
+        void written(Exchange exchange);
+
+        /** A result came for a pick that had ended before. */
+        void late(Outcome outcome);
+
         Moment now();
 
         sprucerock.net.Timers.Timer at(Moment when, Runnable what);
@@ -148,6 +154,14 @@
         owner.misnamed(unit, other);
     }
 
+    void written(Exchange exchange) {
+        owner.written(exchange);
+    }
+
+    void late(Outcome outcome) {
+        owner.late(outcome);
+    }
+
     void ended(Exchange exchange, Outcome outcome, byte[] body) {
         owner.ended(exchange, outcome, body);
     }
--- a/src/main/java/sprucerock/sim/Relay.java
+++ b/src/main/java/sprucerock/sim/Relay.java
@@ -260,6 +260,7 @@
     @Override
     public void send(Pick pick) {
         ledger.sent(pick);
+        ledger.written(pick);
         double patience = pick.patience == null ? 0 : pick.patience.ms();
         open(10).u32(pick.rpc.id).u32(pick.unit.id).f64(patience).close();
     }
--- a/src/main/java/sprucerock/standin/ClientStandIn.java
+++ b/src/main/java/sprucerock/standin/ClientStandIn.java
@@ -79,6 +79,7 @@
     private boolean rude;
     private int rudeCustomer = -1;
     private boolean stopped;
+    private final Counts counts = new Counts();
 
     private final class Try {
         final Order order;
@@ -119,6 +120,12 @@
         return open.size();
     }
 
+    /** Its own book: RPCs sent, and what became of each; sent = answered + left + given up + link ended + open. */
+    public Counts counts() {
+        counts.set("open", open.size());
+        return counts;
+    }
+
     /** Asks so many times as often. */
     public void times(double factor) {
         times = factor;
@@ -194,6 +201,7 @@
             return;
         }
         order.tries++;
+        counts.add("sent");
         long id = ++lastTry;
         Try one = new Try(order);
         open.put(id, one);
@@ -209,13 +217,16 @@
 
     private void leave(long id) {
         Try one = open.remove(id);
+        counts.add("left");
         redial.send(Kind.LEAVE, Leave.newBuilder().setId(id).build(), NO_BODY);
         end(one.order, End.LEFT);
     }
 
     private void unanswered(long id) {
         Try one = open.remove(id);
-        if (one != null) end(one.order, End.UNANSWERED);
+        if (one == null) return;
+        counts.add("given_up");
+        end(one.order, End.UNANSWERED);
     }
 
     private void end(Order order, End how) {
@@ -237,6 +248,7 @@
         }
         Answer answer = (Answer) head;
         Try one = open.remove(answer.getId());
+        counts.add((one == null ? "late_" : "answered_") + answer.getEnding());
         if (one == null) return; // it had left; the judge knows whether that was an answer too many
         one.timer.cancel();
         Order order = one.order;
@@ -281,6 +293,7 @@
     public void closed(String why) {
         for (Try one : Map.copyOf(open).values()) {
             one.timer.cancel();
+            counts.add("link_ended");
             again(one.order, mayRepeat(one.order), End.LOST_WITH_RELAY, manners.pause());
         }
         open.clear();
--- a/src/main/java/sprucerock/standin/UnitStandIn.java
+++ b/src/main/java/sprucerock/standin/UnitStandIn.java
@@ -77,6 +77,7 @@
     private boolean paused;
     private int mostConnections = Integer.MAX_VALUE;
     private Span linkDelay = Span.ZERO;
+    private final Counts counts = new Counts();
 
     public UnitStandIn(Net net, TraceWriter trace, Limits limits, int id, int build, int zone, int cores, double speed,
         BuildFault fault, Site site, Shared shared, Ear ear, long seed) {
@@ -117,6 +118,7 @@
         if (down) return;
         down = true;
         listener.close();
+        counts.add("killed", queue.size() + busy);
         queue.clear();
         busy = 0;
         generation++;
@@ -231,13 +233,20 @@
 
         @Override
         public void frame(Kind kind, MessageLite head, byte[] body) {
-            if (lost(linkLoses)) return;
+            if (kind == Kind.WORK) counts.add("came");
+            if (lost(linkLoses)) {
+                if (kind == Kind.WORK) counts.add("lost_on_way");
+                return;
+            }
             if (linkDelay.over(Span.ZERO)) net.at(net.now().plus(linkDelay), () -> take(kind, head, body));
             else take(kind, head, body);
         }
 
         private void take(Kind kind, MessageLite head, byte[] body) {
-            if (down) return;
+            if (down) {
+                if (kind == Kind.WORK) counts.add("came_when_down");
+                return;
+            }
             if (kind == Kind.WORK) {
                 Job job = new Job();
                 job.session = this;
@@ -270,7 +279,10 @@
         // exponential, cut at five means so that no single RPC fills a day
         job.costMs = method.workMs() * Math.min(5, -Math.log(1 - chance.nextDouble()));
         bear(job);
-        if (down) return;
+        if (down) { // it fell over with this one
+            counts.add("killed");
+            return;
+        }
         boolean full = draining || queue.size() >= QUEUE_PER_CORE * cores;
         if (full) {
             reply(job, Result.FULL, NO_BODY);
@@ -312,6 +324,7 @@
             boolean overdue = now.since(job.came).ms() * 1000 > job.work.getLeftUs();
             if (job.stopped || overdue) {
                 job.session.jobs.remove(job.work.getId());
+                counts.add("never_begun");
                 continue; // nobody waits for it; never begun
             }
             busy++;
@@ -385,9 +398,16 @@
 
     private void reply(Job job, Result result, byte[] body) {
         job.session.jobs.remove(job.work.getId());
-        if (lost(losesAnswers) || lost(linkLoses)) return;
+        counts.add("made_" + result);
+        boolean dropped = lost(losesAnswers);
+        if (dropped || lost(linkLoses)) {
+            counts.add((dropped ? "dropped_" : "lost_on_link_") + result);
+            return;
+        }
         Done done = Done.newBuilder().setId(job.work.getId()).setResult(result).build();
         Runnable send = () -> {
+            boolean gone = !job.session.link.usable();
+            counts.add((gone ? "link_gone_" : rubbish ? "rubbish_" : "sent_") + result);
             if (rubbish) job.session.link.send(Kind.WORK, job.work, body); // what a unit never sends
             else job.session.link.send(Kind.DONE, done, body);
         };
@@ -395,6 +415,15 @@
         else send.run();
     }
 
+    /**
+     * Its own book: picks that came, and what became of each; came = lost on the way + came when down + killed + never begun +
+     * made + held. Of the results it made: dropped on command + lost on the link + link gone + rubbish + sent.
+     */
+    public Counts counts() {
+        counts.set("held", held());
+        return counts;
+    }
+
     /** Picks that it holds, for a look from outside. */
     public int held() {
         return queue.size() + busy;
--- a/src/test/java/sprucerock/bench/PostingsBenchmark.java
+++ b/src/test/java/sprucerock/bench/PostingsBenchmark.java
@@ -68,7 +68,8 @@
             Span took = Span.ofMs(0.1 + (i & 255) * 0.05);
             accounts.rpcArrived(method, 0);
             accounts.pickSent(method, build, unit, false);
-            accounts.pickEnded(method, build, unit, false, 1, took);
+            accounts.pickWritten();
+            accounts.pickEnded(method, build, unit, false, true, 1, took);
             accounts.rpcAnswered(method, 0, took, true, true);
             if (i % eachTurn == eachTurn - 1) accounts.commit();
         }
--- a/src/test/java/sprucerock/figures/ExportTest.java
+++ b/src/test/java/sprucerock/figures/ExportTest.java
@@ -3,12 +3,15 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -75,4 +78,82 @@
             relay.join();
         }
     }
+
+    private static Export some(Keeper keeper) throws Exception {
+        return new Export(keeper::snapshot, () -> false, keeper::kept, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    private static Accounts accounts() {
+        Accounts accounts = new Accounts(List.of("read", "pay"), new Accounts.Room(1, 1, 1));
+        accounts.row(accounts.customers, "0");
+        return accounts;
+    }
+
+    /** Sockets that say half a request, or nothing, take every thread there is; two seconds later they are cut off. */
+    @Test
+    public void stalledScrapesHoldUpOthersOnlyForAWhileAndTheRelayNever() throws Exception {
+        Accounts accounts = accounts();
+        Keeper keeper = Keeper.open(null, accounts, () -> { }, line -> { });
+        List<Socket> stalled = new ArrayList<>();
+        try (Export export = some(keeper)) {
+            for (int i = 0; i < 60; i++) {
+                Socket socket = new Socket(InetAddress.getLoopbackAddress(), export.port());
+                stalled.add(socket);
+                if (i % 2 == 0) socket.getOutputStream().write("GET /metrics HTTP/1.1\r\nHost:".getBytes());
+            }
+            for (int i = 0; i < 1000; i++) { // the relay's own thread
+                accounts.rpcArrived(0, 0);
+                accounts.commit();
+            }
+            HttpClient http = HttpClient.newHttpClient();
+            Double taken = null;
+            for (int i = 0; taken == null && i < 600; i++) {
+                try {
+                    taken = scrape(http, export.port(), "text/plain").get("sprucerock_rpcs_taken_total{method=\"read\"}");
+                } catch (IOException e) {
+                    Thread.sleep(50); // turned away while all is taken
+                }
+            }
+            assertEquals(taken, 1000.0);
+        } finally {
+            for (Socket socket : stalled) socket.close();
+        }
+    }
+
+    @Test
+    public void aScrapeWhileTheRelayEndsHasItsLastFigures() throws Exception {
+        Accounts accounts = accounts();
+        Keeper keeper = Keeper.open(null, accounts, () -> { }, line -> { });
+        accounts.rpcArrived(1, 0);
+        try (Export export = some(keeper)) {
+            keeper.close();
+            Map<String, Double> found = scrape(HttpClient.newHttpClient(), export.port(), "text/plain");
+            assertEquals(found.get("sprucerock_rpcs_open{method=\"pay\"}"), 1.0);
+            assertEquals(found.get("sprucerock_starts_running"), 0.0);
+            assertEquals(found.get("sprucerock_figures_kept"), 0.0);
+        }
+    }
+
+    @Test
+    public void latenciesAreServedInOctavesAndTheTableIsForPeople() throws Exception {
+        Accounts accounts = accounts();
+        Keeper keeper = Keeper.open(null, accounts, () -> { }, line -> { });
+        for (double ms : new double[] {0.1, 0.9, 1.0, 1.1, 200, 80_000}) {
+            accounts.rpcArrived(0, 0);
+            accounts.rpcAnswered(0, 0, Span.ofMs(ms), ms < 100, ms < 1000);
+        }
+        accounts.commit();
+        try (Export export = some(keeper)) {
+            HttpClient http = HttpClient.newHttpClient();
+            Map<String, Double> found = scrape(http, export.port(), "text/plain");
+            assertEquals(found.get("sprucerock_latency_seconds_bucket{method=\"read\",le=\"1.28E-4\"}"), 1.0);
+            assertEquals(found.get("sprucerock_latency_seconds_bucket{method=\"read\",le=\"0.001024\"}"), 3.0);
+            assertEquals(found.get("sprucerock_latency_seconds_bucket{method=\"read\",le=\"+Inf\"}"), 6.0);
+            assertEquals(found.get("sprucerock_answers_ended_total{how=\"too_late\",method=\"read\"}"), 1.0);
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + export.port() + "/figures")).build();
+            HttpResponse<String> table = http.send(request, HttpResponse.BodyHandlers.ofString());
+            assertEquals(table.statusCode(), 200);
+            assertTrue(table.body().contains("latency, ms    method              answered           p50"), table.body());
+        }
+    }
 }
--- a/src/test/java/sprucerock/figures/PagesTest.java
+++ b/src/test/java/sprucerock/figures/PagesTest.java
@@ -45,6 +45,11 @@
             return memory.get(at);
         }
 
+        @Override
+        public void get(int at, long[] into, int from, int count) {
+            memory.get(at, into, from, count);
+        }
+
         @Override
         public void put(int at, long value) {
             if (left-- > 0) {
@@ -72,7 +77,8 @@
             int build = accounts.row(accounts.builds, "" + random.nextInt(4));
             int unit = accounts.row(accounts.units, "u" + random.nextInt(5));
             accounts.pickSent(method, build, unit, false);
-            if (random.nextBoolean()) accounts.pickEnded(method, build, unit, false, 1, Span.ofMs(random.nextDouble(20)));
+            accounts.pickWritten();
+            if (random.nextBoolean()) accounts.pickEnded(method, build, unit, false, true, 1, Span.ofMs(random.nextDouble(20)));
         }
     }
 
@@ -247,6 +253,7 @@
         assertTrue(accounts.sum(accounts.picks, 0) > 0);
         assertEquals(said.size(), 1);
         assertTrue(said.get(0).contains("figures stay in memory"), said.get(0));
+        assertTrue(!Keeper.open(file, new Accounts(METHODS, ROOM), () -> { }, said::add).kept());
         assertTrue(PosixFilePermissions.toString(Files.getPosixFilePermissions(folder)).startsWith("rwx"));
         expectThrows(java.io.IOException.class, () -> Snapshot.read(file));
     }
--- a/src/test/java/sprucerock/ledger/AccountsTest.java
+++ b/src/test/java/sprucerock/ledger/AccountsTest.java
@@ -14,7 +14,8 @@
         accounts.row(accounts.units, "u1");
         accounts.rpcArrived(1, 0);
         accounts.pickSent(1, accounts.row(accounts.builds, "7"), 0, true);
-        accounts.pickEnded(1, 0, 0, true, 1, Span.ofMs(3));
+        accounts.pickWritten();
+        accounts.pickEnded(1, 0, 0, true, true, 1, Span.ofMs(3));
         accounts.rpcAnswered(1, 0, Span.ofMs(4), true, true);
         return accounts;
     }
@@ -51,7 +52,7 @@
         accounts.begin(accounts.builds, 0, 2);
         accounts.begin(accounts.units, 0, 1);
         assertEquals(accounts.check().stream().map(Accounts.Drift::equation).toList(), List.of("picks ok = build_picks ok",
-            "picks error = build_picks error", "pick_latency ok of method read = picks{method=read} ok"));
+            "picks error = build_picks error", "picks sent = pick_frames wanted", "pick_latency ok of method read = picks{method=read} ok"));
     }
 
     @Test
