--- a/src/main/antlr4/sprucerock/rehearsal/Day.g4
+++ b/src/main/antlr4/sprucerock/rehearsal/Day.g4
@@ -24,6 +24,7 @@
   | 'allow' allowed+                                                                        # allow
   | 'traffic' number '/s' ('busiest' times=number)?                                         # traffic
   | 'clients' INT 'retries' retries=INT 'after' SPAN ('impatient' PERCENT)?                 # clients
+  | 'tls' everyone='everyone'? ('look' look=SPAN)? ('move' move=SPAN)? ('handshakes' INT '/s')? # tls
   | 'at' SPAN trouble                                                                       # at
   ;
 
@@ -45,6 +46,8 @@
   | 'desk' ('late' late=SPAN | 'down') 'for' length=SPAN                                    # deskIll
   | 'counts' 'late' late=SPAN 'for' length=SPAN                                             # countsLate
   | 'zone' INT 'link' late=SPAN ('losing' PERCENT)? 'for' length=SPAN                       # zoneLink
+  | 'certificates' 'rotate'                                                                 # rotate
+  | 'trust' 'rotates' 'within' SPAN                                                         # trustRotates
   | 'clients' 'rude' 'for' SPAN                                                             # rude
   ;
 
@@ -69,6 +72,9 @@
   | 'neighbour' PERCENT
   | 'pauses' pause=SPAN 'every' every=SPAN
   | 'takes' INT 'connections'
+  | 'certificate' how=('misnamed' | 'expired' | 'untrusted')
+  | 'handshake' (hand=('stalls' | 'resets') | 'slow' by=SPAN)
+  | 'truncates'
   ;
 
 number: INT | DECIMAL;
--- a/src/main/java/sprucerock/bench/Bench.java
+++ b/src/main/java/sprucerock/bench/Bench.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -27,6 +28,8 @@
 import sprucerock.figures.Keeper;
 import sprucerock.net.nio.NioLoop;
 import sprucerock.relay.Relay;
+import sprucerock.tls.Material;
+import sprucerock.tls.Workers;
 import sprucerock.wire.Tap;
 
 /**
@@ -103,9 +106,13 @@
         Keeper keeper;
 
         Subject(String name, Fleet fleet, int methods, Kept kept) throws IOException, InterruptedException, ConfigException {
+            this(name, fleet, methods, kept, null);
+        }
+
+        Subject(String name, Fleet fleet, int methods, Kept kept, BenchTls tls) throws IOException, InterruptedException, ConfigException {
             Set<Long> before = alive();
             loop = new NioLoop(name, Throwable::printStackTrace);
-            Relay relay = relay(loop, fleet, methods, kept);
+            Relay relay = relay(loop, fleet, methods, kept, tls);
             keeper = lastKeeper;
             way = new Way(name, new int[] {relay.address().getPort()}, false, since(before));
         }
@@ -138,7 +145,7 @@
                 rate = one.took.perSecond() / 10;
             }
             out.printf("  with figures to without: rate %s, CPU an RPC %s%n", spread(rates), spread(cpus));
-            try (Export export = new Export(with.keeper::snapshot, () -> false, with.keeper::kept,
+            try (Export export = new Export(with.keeper::snapshot, () -> false, with.keeper::kept, Map::of,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
                 Histogram scrapes = new Histogram(60_000_000_000L, 3);
                 long[] size = new long[1];
@@ -163,6 +170,37 @@
         }
     }
 
+    /** What TLS costs: the same relay without it and with it towards units and clients, in turns; then times at a tenth of the slower's rate. */
+    public void tls(int connections, int units, int rounds) throws IOException, InterruptedException, ConfigException {
+        out.printf("%d connections, %d units, %s, %d cores: %d rounds of %.1f s each%n", connections, units, System.getProperty("java.vm.version"),
+            Runtime.getRuntime().availableProcessors(), rounds, lengths.count);
+        List<Double> rates = new ArrayList<>();
+        List<Double> cpus = new ArrayList<>();
+        List<Double> p50s = new ArrayList<>();
+        List<Double> p99s = new ArrayList<>();
+        BenchTls tls = new BenchTls();
+        try (Fleet plainFleet = new Fleet(units, THREADS); Fleet securedFleet = new Fleet(units, THREADS, tls);
+            Subject plain = new Subject("plain", plainFleet, 1, Kept.IN_A_FILE); Subject secured = new Subject("tls", securedFleet, 1, Kept.IN_A_FILE, tls)) {
+            double rate = 0;
+            for (int i = 0; i < rounds; i++) {
+                boolean first = i % 2 == 0;
+                Row one = first ? saturate(plain.way, connections, 1, null) : saturate(secured.way, connections, 1, tls);
+                Row other = first ? saturate(secured.way, connections, 1, tls) : saturate(plain.way, connections, 1, null);
+                rates.add(first ? other.took.perSecond() / one.took.perSecond() : one.took.perSecond() / other.took.perSecond());
+                cpus.add(first ? other.cpuUs / one.cpuUs : one.cpuUs / other.cpuUs);
+                rate = Math.min(one.took.perSecond(), other.took.perSecond()) / 10;
+            }
+            for (int i = 0; i < rounds; i++) {
+                Row without = at(plain.way, connections, rate, 1, null);
+                Row with = at(secured.way, connections, rate, 1, tls);
+                p50s.add(with.took.us(50) - without.took.us(50));
+                p99s.add(with.took.us(99) - without.took.us(99));
+            }
+            out.printf("  TLS to plain: rate %s, CPU an RPC on the loop %s%n", spread(rates), spread(cpus));
+            out.printf("  added by TLS at %.0f RPCs/s: p50 %s us, p99 %s us%n", rate, spread(p50s), spread(p99s));
+        }
+    }
+
     private static Thread monitor(int port, Histogram scrapes, long[] size) {
         Thread monitor = new Thread(() -> {
             HttpClient http = HttpClient.newHttpClient();
@@ -211,6 +249,10 @@
     private Keeper lastKeeper;
 
     private Relay relay(NioLoop loop, Fleet fleet, int methods, Kept kept) throws IOException, InterruptedException, ConfigException {
+        return relay(loop, fleet, methods, kept, null);
+    }
+
+    private Relay relay(NioLoop loop, Fleet fleet, int methods, Kept kept, BenchTls tls) throws IOException, InterruptedException, ConfigException {
         Path file = Files.createTempFile("bench", ".xml");
         Files.writeString(file, """
             <relay xmlns="urn:sprucerock:relay:1" name="bench" number="0" seed="1">
@@ -219,6 +261,7 @@
               <desk host="127.0.0.1" port="%d"/>
               <limits open="100000" open-per-client="100000" unsent="64MiB" clients="5000"/>
               <connections per-unit="1" picks-each="100000" waiting-per-unit="100000" connect-within="5s"/>
+              %s
               <site relays="1" tick="5ms">
                 %s
                 <stage cap="1"/>
@@ -227,7 +270,8 @@
                 <votes control="single" life="4s" answer-within="1s"/>
               </site>
             </relay>
-            """.formatted(fleet.rosterPort(), fleet.deskPort(), IntStream.range(0, methods).mapToObj(i -> "<method name=\"echo-" + i
+            """.formatted(fleet.rosterPort(), fleet.deskPort(), tls == null ? "" : "<tls clients=\"tls\" trust=\"" + tls.folder.resolve("trust.pem")
+                + "\" key=\"" + tls.folder.resolve("key.pem") + "\" handshake-within=\"30s\" handshakes-a-second=\"10000\" work-waiting=\"100000\"/>", IntStream.range(0, methods).mapToObj(i -> "<method name=\"echo-" + i
                 + "\" effect=\"idempotent\" soft-deadline=\"2s\" deadline=\"5s\" utility=\"1\"/>").collect(Collectors.joining())));
         RelayConfig config = RelayConfig.read(file);
         Files.delete(file);
@@ -237,7 +281,11 @@
         Relay relay = Loops.on(loop, () -> {
             Relay made = new Relay(config, loop, Tap.NONE);
             if (kept == Kept.NOT) made.ledger().accounts().mute();
-            made.start(Policy::new);
+            try {
+                made.start(Policy::new, tls == null ? null : new Workers(config.tlsWorkers, config.tlsWorkWaiting, loop::post, made::broken));
+            } catch (Material.BadMaterialException e) {
+                throw new IOException(e.getMessage());
+            }
             lastKeeper = Keeper.open(figures, made.ledger().accounts(), () -> loop.atTurnsEnd(made.ledger().accounts()::commit), out::println);
             return made;
         });
@@ -250,7 +298,11 @@
     }
 
     private Row saturate(Way way, int connections, int methods) throws IOException, InterruptedException {
-        try (Load load = new Load(THREADS, connections, way.ports, way.straight, BODY)) {
+        return saturate(way, connections, methods, null);
+    }
+
+    private Row saturate(Way way, int connections, int methods, BenchTls tls) throws IOException, InterruptedException {
+        try (Load load = new Load(THREADS, connections, way.ports, way.straight, BODY, tls)) {
             load.methods(methods);
             load.closed(OPEN);
             return measure(way, load);
@@ -262,7 +314,11 @@
     }
 
     private Row at(Way way, int connections, double perSecond, int methods) throws IOException, InterruptedException {
-        try (Load load = new Load(THREADS, connections, way.ports, way.straight, BODY)) {
+        return at(way, connections, perSecond, methods, null);
+    }
+
+    private Row at(Way way, int connections, double perSecond, int methods, BenchTls tls) throws IOException, InterruptedException {
+        try (Load load = new Load(THREADS, connections, way.ports, way.straight, BODY, tls)) {
             load.methods(methods);
             load.open(perSecond);
             return measure(way, load);
--- /dev/null
+++ b/src/main/java/sprucerock/bench/BenchTls.java
@@ -0,0 +1,57 @@
+package sprucerock.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import sprucerock.net.LinkUser;
+import sprucerock.net.nio.NioLoop;
+import sprucerock.time.Span;
+import sprucerock.tls.Buffers;
+import sprucerock.tls.Counter;
+import sprucerock.tls.Credentials;
+import sprucerock.tls.Material;
+import sprucerock.tls.TestCa;
+import sprucerock.tls.TlsLink;
+import sprucerock.tls.Workers;
+
+/** Certificates for a run of the benchmark, and TLS for its units and clients. */
+final class BenchTls {
+    static final String RELAY = "relay.bench.test";
+    private static final Span WITHIN = Span.ofMs(30_000);
+
+    final Path folder = Files.createTempDirectory("bench-tls");
+    private final Credentials credentials;
+
+    BenchTls() throws IOException {
+        TestCa ca = TestCa.root("bench");
+        Files.writeString(folder.resolve("trust.pem"), TestCa.pem(ca.certificate()));
+        TestCa.write(folder.resolve("key.pem"), ca.make(TestCa.leaf(RELAY)));
+        TestCa.Identity identity = ca.make(TestCa.leaf("*.units.bench.test"));
+        try {
+            credentials = new Credentials(Material.of(Set.of(ca.certificate()), List.of(), identity.key(), identity.chain(), "bench"),
+                Credentials.Policy.USUAL, Instant::now);
+        } catch (GeneralSecurityException e) {
+            throw new IOException(e);
+        }
+    }
+
+    static String unit(int number) {
+        return "u" + number + ".units.bench.test";
+    }
+
+    static TlsLink.Place place(NioLoop loop) {
+        return new TlsLink.Place(loop, new Buffers(), new Workers(1, 100_000, loop::post, Throwable::printStackTrace), WITHIN, Counter.NONE);
+    }
+
+    LinkUser server(TlsLink.Place place, LinkUser user) {
+        return TlsLink.server(place, credentials, false, user);
+    }
+
+    LinkUser client(TlsLink.Place place, String name, int port, LinkUser user) {
+        return TlsLink.client(place, credentials, name, port, user);
+    }
+}
--- a/src/main/java/sprucerock/bench/Fleet.java
+++ b/src/main/java/sprucerock/bench/Fleet.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import sprucerock.net.Net;
 import sprucerock.net.nio.NioLoop;
+import sprucerock.tls.TlsLink;
 import sprucerock.wire.FrameLink;
 import sprucerock.wire.FrameUser;
 import sprucerock.wire.Kind;
@@ -34,12 +35,19 @@
     private int deskPort;
 
     Fleet(int units, int threads) throws IOException, InterruptedException {
+        this(units, threads, null);
+    }
+
+    /** Units that are reached by TLS, unless that is null. */
+    Fleet(int units, int threads, BenchTls tls) throws IOException, InterruptedException {
         loops = new NioLoop[threads];
         for (int i = 0; i < threads; i++) loops[i] = new NioLoop("units-" + i, Throwable::printStackTrace);
         ports = new int[units];
+        TlsLink.Place[] places = new TlsLink.Place[threads];
+        for (int i = 0; i < threads && tls != null; i++) places[i] = BenchTls.place(loops[i]);
         for (int i = 0; i < units; i++) {
             int id = i;
-            ports[i] = listen(loops[i % threads], Role.UNIT, i, link -> new FrameUser() {
+            ports[i] = listen(loops[i % threads], Role.UNIT, i, tls, places[i % threads], link -> new FrameUser() {
                 @Override
                 public void greeted(FrameLink made, Hello other) {}
 
@@ -56,9 +64,9 @@
         Listing.Builder listing = Listing.newBuilder().setForm(Form.WHOLE);
         for (int i = 0; i < units; i++) {
             listing.addEntries(Entry.newBuilder().setUnit(i).setRun(1).setHost("127.0.0.1").setPort(ports[i]).setBuild(1)
-                .setHealth(Health.READY).setWeight(1));
+                .setHealth(Health.READY).setWeight(1).setName(BenchTls.unit(i)));
         }
-        rosterPort = listen(loops[0], Role.ROSTER, 0, link -> new FrameUser() {
+        rosterPort = listen(loops[0], Role.ROSTER, 0, null, null, link -> new FrameUser() {
             @Override
             public void greeted(FrameLink made, Hello other) {}
 
@@ -70,7 +78,7 @@
             @Override
             public void closed(String why) {}
         });
-        deskPort = listen(loops[0], Role.DESK, 0, link -> new FrameUser() {
+        deskPort = listen(loops[0], Role.DESK, 0, null, null, link -> new FrameUser() {
             @Override
             public void greeted(FrameLink made, Hello other) {
                 made.send(Kind.NEWS, News.newBuilder().setBuild(1).setStage(0).setStanding(Stand.RELEASED).setCap(1)
@@ -89,13 +97,13 @@
         FrameUser user(FrameLink[] link);
     }
 
-    private static int listen(NioLoop loop, Role role, int number, Made made) throws IOException, InterruptedException {
+    private static int listen(NioLoop loop, Role role, int number, BenchTls tls, TlsLink.Place place, Made made) throws IOException, InterruptedException {
         Hello hello = Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(role).setNumber(number).build();
         return Loops.on(loop, () -> {
             Net.Listener listener = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10_000, LIMITS.unsent(), () -> {
                 FrameLink[] link = new FrameLink[1];
                 link[0] = new FrameLink(loop, hello, LIMITS, Tap.NONE, made.user(link));
-                return link[0];
+                return tls == null ? link[0] : tls.server(place, link[0]);
             });
             return listener.address().getPort();
         });
--- a/src/main/java/sprucerock/bench/Load.java
+++ b/src/main/java/sprucerock/bench/Load.java
@@ -8,8 +8,10 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.HdrHistogram.Histogram;
+import sprucerock.net.LinkUser;
 import sprucerock.net.nio.NioLoop;
 import sprucerock.time.Span;
+import sprucerock.tls.TlsLink;
 import sprucerock.wire.FrameLink;
 import sprucerock.wire.FrameUser;
 import sprucerock.wire.Kind;
@@ -34,6 +36,7 @@
     private final boolean straight;
     private final byte[] body;
     private final List<Lane> lanes = new ArrayList<>();
+    private final List<TlsLink.Place> places = new ArrayList<>();
     private volatile boolean counting;
     private volatile long gapNanos;
     private int methods = 1;
@@ -112,6 +115,11 @@
     private volatile boolean over;
 
     Load(int threads, int connections, int[] ports, boolean straight, int bodyBytes) throws IOException, InterruptedException {
+        this(threads, connections, ports, straight, bodyBytes, null);
+    }
+
+    /** A load whose connections are by TLS, unless that is null. */
+    Load(int threads, int connections, int[] ports, boolean straight, int bodyBytes, BenchTls tls) throws IOException, InterruptedException {
         this.straight = straight;
         body = new byte[bodyBytes];
         loops = new NioLoop[Math.min(threads, connections)];
@@ -119,6 +127,7 @@
         for (int i = 0; i < loops.length; i++) {
             loops[i] = new NioLoop("load-" + i, Throwable::printStackTrace);
             lanes.add(new Lane(loops[i]));
+            if (tls != null) places.add(BenchTls.place(loops[i]));
         }
         for (int i = 0; i < connections; i++) {
             Lane lane = lanes.get(i % lanes.size());
@@ -127,8 +136,9 @@
                 Client client = new Client(lane);
                 client.link = new FrameLink(lane.loop, hello, Fleet.LIMITS, Tap.NONE, client);
                 lane.clients.add(client);
+                LinkUser user = tls == null ? client.link : tls.client(places.get(lanes.indexOf(lane)), BenchTls.RELAY, port, client.link);
                 return lane.loop.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), Span.ofMs(10_000),
-                    Fleet.LIMITS.unsent(), client.link);
+                    Fleet.LIMITS.unsent(), user);
             });
         }
         for (int i = 0; up.get() < connections; i++) {
--- a/src/main/java/sprucerock/cli/BenchCommand.java
+++ b/src/main/java/sprucerock/cli/BenchCommand.java
@@ -26,6 +26,9 @@
     @Option(names = "--figures", description = "measures only what figures cost: the relay with and without them, in turns")
     private boolean figures;
 
+    @Option(names = "--tls", description = "measures only what TLS costs: the relay with and without it, in turns")
+    private boolean tls;
+
     @Override
     public Integer call() throws Exception {
         Logs.to(Logs.Form.PLAIN);
@@ -33,7 +36,8 @@
         Bench bench = new Bench(System.out, new Bench.Lengths(seconds, seconds), shares);
         for (int many : units) {
             for (int some : connections) {
-                if (figures) bench.figures(some, many, METHODS, ROUNDS);
+                if (tls) bench.tls(some, many, ROUNDS);
+                else if (figures) bench.figures(some, many, METHODS, ROUNDS);
                 else bench.run(some, many);
             }
         }
--- a/src/main/java/sprucerock/cli/CheckConfigCommand.java
+++ b/src/main/java/sprucerock/cli/CheckConfigCommand.java
@@ -4,7 +4,9 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
+import sprucerock.config.ConfigException;
 import sprucerock.config.RelayConfig;
+import sprucerock.tls.Material;
 
 @Command(name = "check-config", mixinStandardHelpOptions = true, description = "Checks a relay's configuration.")
 final class CheckConfigCommand implements Callable<Integer> {
@@ -14,6 +16,13 @@
     @Override
     public Integer call() throws Exception {
         RelayConfig config = RelayConfig.read(file);
+        if (config.tls != null) {
+            try {
+                Material.read(config.tls.files());
+            } catch (Material.BadMaterialException e) {
+                throw new ConfigException(e.getMessage());
+            }
+        }
         System.out.println(file + ": relay " + config.name + ", number " + config.settings.index + " of " + config.settings.relays
             + ", " + config.settings.methods.size() + " methods, " + config.peers.size() + " peers: in order");
         return Commands.DONE;
--- a/src/main/java/sprucerock/cli/RelayCommand.java
+++ b/src/main/java/sprucerock/cli/RelayCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
@@ -15,6 +16,8 @@
 import sprucerock.ledger.Accounts;
 import sprucerock.net.nio.NioLoop;
 import sprucerock.relay.Relay;
+import sprucerock.tls.Material;
+import sprucerock.tls.Workers;
 import sprucerock.trace.TraceWriter;
 import sprucerock.wire.Tap;
 
@@ -30,6 +33,12 @@
     @Option(names = "--log", paramLabel = "FORM", defaultValue = "plain", description = "plain or json")
     private String form;
 
+    /** What is true of TLS now. */
+    private static Map<String, Double> tls(Relay relay) {
+        Long days = relay.tlsDaysLeft();
+        return days == null ? Map.of() : Map.of("tls_days_left", days.doubleValue(), "tls_files_broken", relay.tlsBroken() ? 1.0 : 0.0);
+    }
+
     @Override
     public Integer call() throws Exception {
         if (!form.equals("plain") && !form.equals("json")) throw new ConfigException("--log is plain or json, not " + form);
@@ -38,7 +47,7 @@
         AtomicReference<Relay> relay = new AtomicReference<>();
         CountDownLatch ended = new CountDownLatch(1);
         CountDownLatch started = new CountDownLatch(1);
-        AtomicReference<IOException> wrong = new AtomicReference<>();
+        AtomicReference<String> wrong = new AtomicReference<>();
         NioLoop loop = new NioLoop("relay-" + config.settings.index, e -> {
             if (relay.get() != null) relay.get().broken(e);
             else e.printStackTrace(System.err);
@@ -54,20 +63,23 @@
                 relay.set(new Relay(config, loop, trace == null ? Tap.NONE : tracing.get()));
                 Accounts accounts = relay.get().ledger().accounts();
                 keeper.set(Keeper.open(config.figures, accounts, () -> loop.atTurnsEnd(accounts::commit), relay.get()::figuresFile));
-                relay.get().start(Policy::new);
+                Workers aside = config.tls == null ? null : new Workers(config.tlsWorkers, config.tlsWorkWaiting, loop::post, relay.get()::broken);
+                relay.get().start(Policy::new, aside);
             } catch (IOException e) {
-                wrong.set(e);
+                wrong.set(config.listen + " can't be listened at, or the trace can't be written: " + e.getMessage());
+            } catch (Material.BadMaterialException e) {
+                wrong.set(e.getMessage());
             } finally {
                 started.countDown();
             }
         });
         started.await();
         if (wrong.get() != null) {
-            throw new IOException(config.listen + " can't be listened at, or the trace can't be written: " + wrong.get().getMessage());
+            throw new IOException(wrong.get());
         }
         if (config.scrapedAt != null) {
             try {
-                new Export(keeper.get()::snapshot, relay.get()::drifting, keeper.get()::kept, config.scrapedAt);
+                new Export(keeper.get()::snapshot, relay.get()::drifting, keeper.get()::kept, () -> tls(relay.get()), config.scrapedAt);
             } catch (IOException e) {
                 throw new IOException(config.scrapedAt + " can't be scraped at: " + e.getMessage());
             }
--- a/src/main/java/sprucerock/config/RelayConfig.java
+++ b/src/main/java/sprucerock/config/RelayConfig.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +12,10 @@
 import sprucerock.model.Method;
 import sprucerock.model.Settings;
 import sprucerock.time.Span;
+import sprucerock.tls.Credentials;
+import sprucerock.tls.Handshakes;
+import sprucerock.tls.Material;
+import sprucerock.tls.Tls;
 import sprucerock.wire.Limits;
 
 /** The configuration of one relay, checked; the schema relay.xsd names the units and the values used where one is left out. */
@@ -47,6 +53,17 @@
     public final InetSocketAddress scrapedAt;
     /** Once figures drift, no new RPC is taken. */
     public final boolean strict;
+    /** Null: nothing is encrypted. */
+    public final Tls.Setup tls;
+    /** Whether units, other relays and clients are reached and taken by TLS; and whether clients have to be proven. */
+    public final boolean tlsUnits;
+    public final boolean tlsPeers;
+    public final boolean tlsClients;
+    public final boolean provenClients;
+    public final int tlsWorkers;
+    public final int tlsWorkWaiting;
+    /** The names that other relays' certificates have to carry, by their numbers. */
+    public final Map<Integer, String> peerNames;
     public final Settings settings;
     /** By their places in the settings. */
     public final List<String> methodNames;
@@ -108,6 +125,42 @@
             if (found.put(other, address(peer)) != null) throw peer.wrong("number " + other + " is named twice");
         }
         peers = Collections.unmodifiableMap(found);
+        Node secured = root.child("tls");
+        tls = secured == null ? null : setup(secured);
+        tlsUnits = secured != null && secured.flag("units");
+        tlsPeers = secured != null && secured.flag("peers");
+        tlsClients = secured != null && !secured.text("clients").equals("plain");
+        provenClients = secured != null && secured.text("clients").equals("proven");
+        tlsWorkers = secured == null ? 0 : secured.count("workers");
+        tlsWorkWaiting = secured == null ? 0 : secured.count("work-waiting");
+        TreeMap<Integer, String> names = new TreeMap<>();
+        for (Node peer : root.all("peer")) {
+            if (tlsPeers && !peer.has("name")) throw peer.wrong("with tls/peers a name is needed, that its certificate carries");
+            if (peer.has("name")) names.put(peer.count("number"), peer.text("name"));
+        }
+        peerNames = Collections.unmodifiableMap(names);
+        if (tlsPeers && !provenClients) throw secured.wrong("peers need clients=\"proven\": relays are taken where clients are");
+        if (tlsClients && !secured.has("key")) throw secured.wrong("clients need a key");
+    }
+
+    private static Tls.Setup setup(Node node) throws ConfigException {
+        Material.Sources files = new Material.Sources(path(node, "trust"), path(node, "key"), path(node, "chain"), path(node, "password"), path(node, "crl"));
+        List<String> versions = Arrays.stream(node.text("versions").split(" ")).map(version -> "TLSv" + version).toList();
+        Credentials.Policy policy = new Credentials.Policy(versions, duration(node.span("skew")), node.count("longest-chain"), node.count("sessions"),
+            duration(node.span("session-life")));
+        atLeast(node, "look-every", Span.ofMs(10));
+        atLeast(node, "handshake-within", Span.ofMs(10));
+        atLeast(node, "move-within", Span.ofMs(10));
+        return new Tls.Setup(files, policy, node.span("handshake-within"), node.span("look-every"), node.span("move-within"), new Handshakes.Most(
+            node.count("handshakes-a-second"), node.count("handshakes-at-once"), node.count("handshakes-a-second-each"), node.count("handshakes-waiting")));
+    }
+
+    private static Duration duration(Span span) {
+        return Duration.ofNanos((long) (span.ms() * 1e6));
+    }
+
+    private static Path path(Node node, String key) {
+        return node.has(key) ? Path.of(node.text(key)) : null;
     }
 
     private static void atLeast(Node node, String key, Span least) throws ConfigException {
--- a/src/main/java/sprucerock/figures/Export.java
+++ b/src/main/java/sprucerock/figures/Export.java
@@ -14,6 +14,8 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +38,7 @@
     private final Supplier<Snapshot> snapshots;
     private final BooleanSupplier drifting;
     private final BooleanSupplier kept;
+    private final Supplier<Map<String, Double>> more;
     private final HTTPServer server;
     private final ThreadPoolExecutor workers;
 
@@ -45,11 +48,17 @@
         System.setProperty("sun.net.httpserver.maxRspTime", STALLED_SECONDS);
     }
 
-    /** @throws IOException if the address can't be had */
-    public Export(Supplier<Snapshot> snapshots, BooleanSupplier drifting, BooleanSupplier kept, InetSocketAddress at) throws IOException {
+    /**
+     * Serves from now on; {@code more}: what is true at the time of a scrape, and counted nowhere.
+     *
+     * @throws IOException if the address can't be had
+     */
+    public Export(Supplier<Snapshot> snapshots, BooleanSupplier drifting, BooleanSupplier kept, Supplier<Map<String, Double>> more, InetSocketAddress at)
+        throws IOException {
         this.snapshots = snapshots;
         this.drifting = drifting;
         this.kept = kept;
+        this.more = more;
         PrometheusRegistry registry = new PrometheusRegistry();
         registry.register(this);
         // beyond these the server closes the connection: a monitor comes again
@@ -107,6 +116,7 @@
         all.metricSnapshot(gauge("figures_drift", "1 from the moment on that a sum did not hold.", drifting.getAsBoolean() ? 1 : 0));
         all.metricSnapshot(gauge("figures_kept", "1 where figures outlive a kill; 0 without a file, or where it can't be written.",
             kept.getAsBoolean() ? 1 : 0));
+        new TreeMap<>(more.get()).forEach((name, value) -> all.metricSnapshot(gauge(name, "See the operators' pages.", value)));
         return all.build();
     }
 
--- a/src/main/java/sprucerock/figures/Table.java
+++ b/src/main/java/sprucerock/figures/Table.java
@@ -25,14 +25,19 @@
     }
 
     private static void sheet(StringBuilder text, Sheet sheet, Accounts accounts, long[] values) {
+        int columns = sheet.columns().size();
+        boolean[] used = new boolean[columns];
+        for (int row = 0; row < sheet.rows(); row++) {
+            for (int column = 0; column < columns; column++) used[column] |= column == 0 || values[sheet.index(row, column)] != 0;
+        }
         text.append(String.format(Locale.ROOT, "%-14s %-14s", sheet.name(), sheet.by()));
-        for (String column : sheet.columns()) text.append(String.format(Locale.ROOT, " %13s", column));
+        for (int column = 0; column < columns; column++) if (used[column]) text.append(String.format(Locale.ROOT, " %13s", sheet.columns().get(column)));
         text.append('\n');
         for (int row = 0; row < sheet.rows(); row++) {
             if (values[sheet.index(row, 0)] == 0) continue;
             text.append(String.format(Locale.ROOT, "%-14s %-14s", "", accounts.name(sheet, row)));
-            for (int column = 0; column < sheet.columns().size(); column++) {
-                text.append(String.format(Locale.ROOT, " %13d", values[sheet.index(row, column)]));
+            for (int column = 0; column < columns; column++) {
+                if (used[column]) text.append(String.format(Locale.ROOT, " %13d", values[sheet.index(row, column)]));
             }
             text.append('\n');
         }
--- a/src/main/java/sprucerock/judge/Finding.java
+++ b/src/main/java/sprucerock/judge/Finding.java
@@ -4,10 +4,10 @@
 import java.util.stream.Collectors;
 import sprucerock.trace.Line;
 
-/** A rule that was broken: which (1 to 5), how, and the frames that show it. */
+/** A rule that was broken: which (1 to 5; 6: TLS), how, and the frames that show it. */
 public record Finding(int rule, String what, List<Line> frames) {
     private static final String[] NAMES = {"", "no RPC is lost", "no effect happens twice", "drains are kept",
-        "a cold unit is not pushed over", "exposure stays within the cap"};
+        "a cold unit is not pushed over", "exposure stays within the cap", "nothing is sent to an unproven peer"};
 
     @Override
     public String toString() {
--- a/src/main/java/sprucerock/judge/FleetJudge.java
+++ b/src/main/java/sprucerock/judge/FleetJudge.java
@@ -58,6 +58,7 @@
             if (line.isNote("START")) start(line, fields(line));
             else if (line.isNote("TAKEN")) taken(line, fields(line));
             else if (line.isNote("EFFECT")) effect(line, fields(line));
+            else if (line.isNote("UNPROVEN")) findings.add(new Finding(6, "a unit that showed a wrong certificate got an RPC", List.of(line)));
             else if (line.is('<', Kind.ANSWER)) answer(line);
         }
     }
--- a/src/main/java/sprucerock/ledger/Accounts.java
+++ b/src/main/java/sprucerock/ledger/Accounts.java
@@ -50,6 +50,10 @@
     public final Sheet frames;
     /** Results of picks that had ended before, as of one that was out of time. */
     public final Sheet lateResults;
+    /** TLS handshakes, begun from here or taken, by how they ended. */
+    public final Sheet handshakes;
+    /** Changes of the TLS files, taken or refused. */
+    public final Sheet tlsFiles;
     public final Sheet votes;
     public final Sheet messages;
     /** The relay's own starts: how each ended. */
@@ -84,6 +88,10 @@
         took = sheet("pick_latency", "build_and_method", (room.builds + 1) * (methods.size() + 1), Scale.columns("ok"), false);
         frames = sheet("pick_frames", "relay", 1, List.of("wanted", "written", "unwritten", "lost", "waiting"));
         lateResults = sheet("late_results", "relay", 1, List.of("came", "ok", "error", "full"), false);
+        handshakes = sheet("handshakes", "relay", 1, List.of("begun", "full", "resumed", "wrong_name", "expired", "not_yet_valid", "wrong_use",
+            "unknown_issuer", "weak", "chain_too_long", "revoked", "no_certificate", "malformed", "no_protocol", "not_tls", "peer_refused",
+            "timed_out", "ended", "too_many", "failed", "lost", "under_way"));
+        tlsFiles = sheet("tls_files", "relay", 1, List.of("changes", "taken", "refused"), false);
         votes = sheet("votes", "relay", 1, List.of("cast", "counts", "moot", "too_many", "error", "unanswered", "lost", "waiting"));
         messages = sheet("messages", "relay", 1, List.of("told", "sent", "dropped", "lost", "queued"));
         starts = sheet("starts", "relay", 1, List.of("starts", "ended", "lost", "running"));
--- a/src/main/java/sprucerock/rehearsal/Play.java
+++ b/src/main/java/sprucerock/rehearsal/Play.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,12 +25,14 @@
 import sprucerock.standin.DeskStandIn;
 import sprucerock.standin.MonitorStandIn;
 import sprucerock.standin.RosterStandIn;
+import sprucerock.standin.Secure;
 import sprucerock.standin.Shared;
 import sprucerock.standin.Site;
 import sprucerock.standin.SwitchStandIn;
 import sprucerock.standin.UnitStandIn;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
+import sprucerock.tls.Workers;
 import sprucerock.trace.TraceWriter;
 import sprucerock.wire.Limits;
 import sprucerock.wire.v1.Entry;
@@ -56,6 +59,7 @@
     /** Traffic before the day's zero: relays in service are warm, and those of a day should be, too. */
     private static final Span LEAD_IN = Span.ofMs(3000);
     private static final int START_SECONDS = 30;
+    private static final int WORKERS = 2; // for all stand-ins' handshakes
     private static final long SCRAPE_MS = 250; // sixty times as often as a monitor does
     private static final int FIRST_BUILD = 1;
 
@@ -82,6 +86,8 @@
     private final List<Integer> scraped = new ArrayList<>();
     private TraceWriter trace;
     private MonitorStandIn monitor;
+    private Secure secure;
+    private Workers workers;
     private RosterStandIn roster;
     private DeskStandIn desk;
     private SwitchStandIn between;
@@ -158,6 +164,7 @@
         } finally {
             for (RelayProcess relay : relays) if (relay.alive()) relay.kill();
             loop.close();
+            if (workers != null) workers.close();
         }
     }
 
@@ -186,11 +193,16 @@
         trace = new TraceWriter(loop, folder.resolve("standins.trace"), "rehearsal");
         trace.watchStalls();
         trace.note("DAY", day.name + ", seed " + day.seed);
+        if (day.tls) {
+            workers = new Workers(WORKERS, 10_000, loop::post, e -> e.printStackTrace(System.err));
+            secure = new Secure(loop, workers, Files.createDirectory(folder.resolve("tls")), day.relays);
+        }
         roster = new RosterStandIn(loop, new TraceWriter(trace, "roster"), limits, day.notice);
         int rosterPort = roster.start();
         desk = new DeskStandIn(loop, new TraceWriter(trace, "desk"), limits, site, this, FIRST_BUILD, chance.nextLong());
         int deskPort = desk.start();
         between = new SwitchStandIn(loop, new TraceWriter(trace, "switch"), limits, chance.nextLong());
+        if (day.tlsEveryone) between.secure(secure);
         faults.put(FIRST_BUILD, BuildFault.GOOD);
         for (Script.Units some : day.units) {
             for (int i = 0; i < some.count(); i++) {
@@ -220,7 +232,7 @@
             for (int j = 0; j < day.clientsEach; j++) {
                 int number = i * day.clientsEach + j;
                 own.add(new ClientStandIn(loop, new TraceWriter(trace, "client-" + number), limits, site, day.manners, books,
-                    number, new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(i)), perSecond, chance.nextLong()));
+                    number, day.tlsEveryone ? secure.to(Secure.relayName(i)) : loop::connect, new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(i)), perSecond, chance.nextLong()));
             }
             clients.add(own);
         }
@@ -248,7 +260,7 @@
 
     private boolean listens(int relay) throws IOException {
         Path log = folder.resolve("relay-" + relay + ".log");
-        return java.nio.file.Files.exists(log) && java.nio.file.Files.readString(log).contains(" listens at ");
+        return Files.exists(log) && Files.readString(log).contains(" listens at ");
     }
 
     private void begin() {
@@ -303,13 +315,14 @@
         int id = lastUnit++;
         UnitStandIn unit = new UnitStandIn(loop, new TraceWriter(trace, "unit-" + id), limits, id, build, zone, cores, speed,
             faults.get(build), site, shared, desk::count, chance.nextLong());
+        if (secure != null) unit.secure(secure, day.tlsEveryone);
         units.put(id, unit);
         return unit;
     }
 
     private void list(UnitStandIn unit, Health health) {
         roster.changed(Entry.newBuilder().setUnit(unit.id).setRun(unit.run()).setHost("127.0.0.1").setPort(unit.port())
-            .setZone(unit.zone).setBuild(unit.build).setHealth(health).setWeight(unit.cores * unit.speed).build(),
+            .setName(secure == null ? "" : Secure.unitName(unit.id)).setZone(unit.zone).setBuild(unit.build).setHealth(health).setWeight(unit.cores * unit.speed).build(),
             unit.startedCold());
     }
 
@@ -454,6 +467,33 @@
         for (UnitStandIn unit : units.values()) if (unit.zone == zone) unit.link(delay, loses);
     }
 
+    void rotateCertificates() {
+        try {
+            secure.renew();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        units.values().forEach(UnitStandIn::renewCertificate);
+    }
+
+    /** Both are trusted, then all have new certificates, then only the new root is trusted. */
+    void rotateTrust(Span within) {
+        try {
+            secure.trustNew();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        loop.at(loop.now().plus(within.times(0.4)), this::rotateCertificates);
+        loop.at(loop.now().plus(within), () -> {
+            try {
+                secure.distrustOld();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            units.values().forEach(UnitStandIn::renewCertificate);
+        });
+    }
+
     // What befalls relays and clients.
 
     void relayDown(int relay, boolean killed) {
--- a/src/main/java/sprucerock/rehearsal/RelayXml.java
+++ b/src/main/java/sprucerock/rehearsal/RelayXml.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.Map;
+import sprucerock.standin.Secure;
 import sprucerock.standin.Site;
 import sprucerock.time.Span;
 
@@ -18,9 +19,15 @@
         xml.append(String.format(Locale.ROOT, "<relay xmlns=\"urn:sprucerock:relay:1\" name=\"relay-%d\" number=\"%d\" seed=\"%d\">%n",
             number, number, day.seed * 1000 + number));
         xml.append(address("listen", port, "")).append(address("roster", roster, "")).append(address("desk", desk, ""));
-        peers.forEach((other, at) -> xml.append(address("peer", at, " number=\"" + other + "\"")));
+        peers.forEach((other, at) -> xml.append(address("peer", at, " number=\"" + other + "\" name=\"" + Secure.relayName(other) + "\"")));
         xml.append("  <limits/>\n  <connections/>\n  <figures file=\"" + file.resolveSibling("relay-" + number + ".figures").toAbsolutePath()
             + "\" host=\"127.0.0.1\" port=\"" + figures + "\"/>\n");
+        if (day.tls) {
+            Path tls = file.resolveSibling("tls").toAbsolutePath();
+            xml.append(String.format(Locale.ROOT, "  <tls trust=\"%s\" key=\"%s\" peers=\"%b\" clients=\"%s\" look-every=\"%s\" move-within=\"%s\" "
+                + "handshakes-a-second=\"%d\"/>%n", tls.resolve("trust.pem"), tls.resolve("relay-" + number + ".pem"), day.tlsEveryone,
+                day.tlsEveryone ? "proven" : "plain", span(day.tlsLook), span(day.tlsMove), day.handshakesASecond));
+        }
         xml.append(String.format(Locale.ROOT, "  <site relays=\"%d\" tick=\"%s\" ask=\"%b\">%n", day.relays, span(day.tick), day.ask));
         for (Site.Method method : day.methods) {
             String effect = method.effect().name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/src/main/java/sprucerock/rehearsal/Script.java
+++ b/src/main/java/sprucerock/rehearsal/Script.java
@@ -14,6 +14,7 @@
 import org.antlr.v4.runtime.Token;
 import sprucerock.standin.BuildFault;
 import sprucerock.standin.ClientStandIn.Manners;
+import sprucerock.standin.Secure;
 import sprucerock.standin.Site;
 import sprucerock.time.Span;
 
@@ -79,6 +80,12 @@
     public double busiest = 1;
     public int clientsEach = 2;
     public Manners manners = new Manners(2, Span.ofMs(100), 0, 0.3);
+    /** Units are reached by TLS; {@code tlsEveryone}: clients and other relays, too, and all are proven. */
+    public boolean tls;
+    public boolean tlsEveryone;
+    public Span tlsLook = Span.ofMs(500);
+    public Span tlsMove = Span.ofMs(5000);
+    public int handshakesASecond = 200;
     public final List<Trouble> troubles = new ArrayList<>();
 
     private final String file;
@@ -328,6 +335,16 @@
             return null;
         }
 
+        @Override
+        public Void visitTls(DayParser.TlsContext c) {
+            tls = true;
+            tlsEveryone = c.everyone != null;
+            if (c.look != null) tlsLook = span(c.look);
+            if (c.move != null) tlsMove = span(c.move);
+            if (c.INT() != null) handshakesASecond = Math.max(1, whole(c.INT().getSymbol(), 100_000));
+            return null;
+        }
+
         @Override
         public Void visitTraffic(DayParser.TrafficContext c) {
             perSecond = factor(c.number(0));
@@ -431,6 +448,23 @@
             return lasting(c.SPAN().getSymbol(), play -> play.ill(share, ill, true), play -> play.ill(share, ill, false));
         }
 
+        private void needsTls(ParserRuleContext c) {
+            if (!tls) throw wrong(c, "the day has no TLS; a line \"tls\" gives it some");
+        }
+
+        @Override
+        public Void visitRotate(DayParser.RotateContext c) {
+            needsTls(c);
+            return add(null, Play::rotateCertificates);
+        }
+
+        @Override
+        public Void visitTrustRotates(DayParser.TrustRotatesContext c) {
+            needsTls(c);
+            Span within = span(c.SPAN().getSymbol());
+            return add(null, play -> play.rotateTrust(within));
+        }
+
         private Play.Ill ill(DayParser.IllContext c) {
             return switch (c.getStart().getText()) {
                 case "hangs" -> (unit, on, play) -> unit.hang(on);
@@ -457,6 +491,18 @@
                     if (!every.over(pause)) throw wrong(c, "it pauses longer than there is between two pauses");
                     yield (unit, on, play) -> play.pauses(unit, pause, every, on);
                 }
+                case "certificate" -> {
+                    needsTls(c);
+                    Secure.Fault fault = Secure.Fault.valueOf(c.how.getText().toUpperCase(java.util.Locale.ROOT));
+                    yield (unit, on, play) -> unit.certificate(fault, on);
+                }
+                case "handshake" -> {
+                    needsTls(c);
+                    String how = c.hand == null ? "slow" : c.hand.getText();
+                    Span by = c.by == null ? Span.ZERO : span(c.by);
+                    yield (unit, on, play) -> unit.handshakes(how, by, on);
+                }
+                case "truncates" -> (unit, on, play) -> unit.truncates(on);
                 default -> {
                     int most = whole(c.INT().getSymbol(), 1_000_000);
                     yield (unit, on, play) -> unit.connections(on ? most : Integer.MAX_VALUE);
--- a/src/main/java/sprucerock/relay/ClientLink.java
+++ b/src/main/java/sprucerock/relay/ClientLink.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import sprucerock.tls.TlsLink;
 import sprucerock.wire.FrameLink;
 import sprucerock.wire.FrameUser;
 import sprucerock.wire.Kind;
@@ -22,6 +23,7 @@
     private final Relay relay;
     private final Map<Long, Asked> open = new LinkedHashMap<>();
     private FrameLink link;
+    private TlsLink by;
     private boolean peer;
     private boolean closed;
 
@@ -33,10 +35,16 @@
         return open.size();
     }
 
+    /** It came over TLS. */
+    void by(TlsLink over) {
+        by = over;
+    }
+
     @Override
     public void greeted(FrameLink made, Hello other) {
         link = made;
         peer = other.getRole() == Role.RELAY;
+        if (peer && !relay.proven(other.getNumber(), by)) made.cut("its certificate is not that of relay " + other.getNumber());
         if (!peer && other.getRole() != Role.CLIENT) made.cut("only clients and relays are taken here");
     }
 
--- a/src/main/java/sprucerock/relay/Events.java
+++ b/src/main/java/sprucerock/relay/Events.java
@@ -13,7 +13,7 @@
     /** The kinds, as docs/operators/relay.md explains them one by one. */
     enum Kind {
         STARTED, FIGURES, FINISHING, FINISHED, MODULE, CLIENT_CUT, CLIENT_REFUSED, TURNED_AWAY, UNIT_LOST, UNIT_MISNAMED,
-        LISTING_REFUSED, ROSTER_LOST, ROSTER_BACK, DESK_LOST, DESK_BACK, NEWS_REFUSED, PEER_LOST, VOTE_UNANSWERED, DRIFT, FIGURES_FILE, BROKEN
+        LISTING_REFUSED, ROSTER_LOST, ROSTER_BACK, DESK_LOST, DESK_BACK, NEWS_REFUSED, PEER_LOST, VOTE_UNANSWERED, DRIFT, FIGURES_FILE, UNIT_REFUSED, PEER_REFUSED, TLS_FILES, BROKEN
     }
 
     private static final Span EVERY = Span.ofMs(1000); // readable while it streams by, and a bound for disks
--- a/src/main/java/sprucerock/relay/Peers.java
+++ b/src/main/java/sprucerock/relay/Peers.java
@@ -27,11 +27,13 @@
     private final Chance chance;
     private final Map<Integer, Redial> links = new TreeMap<>();
     private final Accounts accounts;
+    private final Secured secured;
     private boolean stopping;
 
     Peers(Net net, RelayConfig config, Hello mine, Tap tap, Events events, Chance chance,
-        Accounts accounts) {
+        Accounts accounts, Secured secured) {
         this.accounts = accounts;
+        this.secured = secured;
         this.net = net;
         this.config = config;
         this.mine = mine;
@@ -48,7 +50,7 @@
         }
         Redial link = links.get(number);
         if (link == null) {
-            link = new Redial(net, address, mine, config.link, tap, chance, new Other(number));
+            link = new Redial(net, secured.toPeer(number), address, mine, config.link, tap, chance, new Other(number));
             links.put(number, link);
             link.dial();
         }
--- a/src/main/java/sprucerock/relay/Relay.java
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -22,6 +22,10 @@
 import sprucerock.stats.Chance;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
+import sprucerock.tls.Aside;
+import sprucerock.tls.Material;
+import sprucerock.tls.Refusal;
+import sprucerock.tls.TlsLink;
 import sprucerock.wire.FrameLink;
 import sprucerock.wire.Tap;
 import sprucerock.wire.v1.Call;
@@ -55,6 +59,7 @@
     private final Accounts accounts;
     private final Hello mine;
     private final Chance chance;
+    private final Secured secured;
     private final Peers peers;
     private final DeskLink desk;
     private final RosterLink roster;
@@ -64,6 +69,8 @@
     private long lastRpc;
     private boolean taking;
     private boolean finishing;
+    private volatile Long tlsDaysLeft;
+    private volatile boolean tlsBroken;
     private volatile boolean drifting; // written by the loop, read by whoever scrapes
     private Runnable finished;
 
@@ -79,24 +86,40 @@
         chance = new Chance(config.seed ^ 0x5bd1e995L);
         mine = Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.RELAY).setNumber(config.settings.index)
             .setName(config.name).build();
-        peers = new Peers(net, config, mine, tap, events, chance, accounts);
+        secured = new Secured(config, net, events, accounts);
+        peers = new Peers(net, config, mine, tap, events, chance, accounts, secured);
         desk = new DeskLink(net, config, mine, tap, ledger, events, chance, reply -> module.voteAnswered(reply), this::learnt);
         roster = new RosterLink(net, config, mine, tap, ledger, events, chance, this, () -> module.listFailed(),
             this::learnt);
     }
 
     /**
-     * Listens and links up. On the loop's thread.
+     * Listens and links up, without TLS. On the loop's thread.
      *
      * @throws IOException if the address to listen at can't be had
      */
     public void start(Maker maker) throws IOException {
+        try {
+            start(maker, null);
+        } catch (Material.BadMaterialException e) {
+            throw new IOException(e.getMessage());
+        }
+    }
+
+    /**
+     * Listens and links up. On the loop's thread.
+     *
+     * @throws IOException if the address to listen at can't be had
+     * @throws Material.BadMaterialException if TLS is configured, and its files can't be used
+     */
+    public void start(Maker maker, Aside aside) throws IOException, Material.BadMaterialException {
+        secured.start(aside, this::moveUnits);
         module = maker.make(this, config.settings, config.seed);
         ledger.tell(module);
         listener = net.bind(config.listen, config.clients, config.link.unsent(), () -> {
             ClientLink client = new ClientLink(this);
             clients.add(client);
-            return new FrameLink(net, mine, config.link, tap, client);
+            return secured.taken(client, new FrameLink(net, mine, config.link, tap, client));
         });
         roster.start();
         desk.start();
@@ -122,6 +145,24 @@
         if (roster.listed() && desk.told()) letClientsIn("with list and news");
     }
 
+    private void moveUnits(Span within) {
+        for (Unit unit : ledger.units()) if (unit.door != null) ((UnitLinks) unit.door).move(within);
+    }
+
+    boolean proven(int relay, TlsLink by) {
+        return secured.provenRelay(relay, by);
+    }
+
+    /** Days until the own certificate ends; null without TLS. From any thread, as it was last. */
+    public Long tlsDaysLeft() {
+        return tlsDaysLeft;
+    }
+
+    /** Whether the TLS files as they are now can't be used, so that older ones are. */
+    public boolean tlsBroken() {
+        return tlsBroken;
+    }
+
     /** Says that something is the matter with the file of figures, which never stops routing. */
     public void figuresFile(String what) {
         events.warn(Events.Kind.FIGURES_FILE, what);
@@ -133,6 +174,10 @@
     }
 
     private void checkFigures() {
+        if (secured.tls() != null) {
+            tlsDaysLeft = secured.tls().daysLeft();
+            tlsBroken = secured.tls().broken();
+        }
         if (accounts.muted()) return;
         List<Accounts.Drift> drifts = accounts.check();
         long open = accounts.sum(accounts.rpcs, accounts.rpcs.pending());
@@ -187,6 +232,7 @@
         desk.stop();
         roster.stop();
         peers.stop();
+        secured.stop();
         for (ClientLink client : clients) client.finish();
         figures();
         events.info(Events.Kind.FINISHED, "every RPC taken has its answer");
@@ -270,9 +316,15 @@
     // What the units' connections tell.
 
     @Override
-    public void open(UnitLink link, InetSocketAddress to) {
+    public void open(UnitLink link, InetSocketAddress to, String name) {
         link.link = new FrameLink(net, mine, config.link, tap, link);
-        net.connect(to, config.connectWithin, config.link.unsent(), link.link);
+        secured.toUnit(link, to, name, link.link);
+    }
+
+    @Override
+    public void refused(Unit unit, String why) {
+        boolean misnamed = why.startsWith("TLS: " + Refusal.WRONG_NAME.words());
+        events.warn(misnamed ? Events.Kind.UNIT_MISNAMED : Events.Kind.UNIT_REFUSED, "unit " + unit.id + ": " + why);
     }
 
     @Override
--- a/src/main/java/sprucerock/relay/RosterLink.java
+++ b/src/main/java/sprucerock/relay/RosterLink.java
@@ -135,7 +135,8 @@
             : entry.getBuild() >>> 16 != 0 ? "a build over 65535"
             : !(entry.getWeight() > 0) || entry.getWeight() > 1e6 ? "a weight that is not above 0"
             : known == null && runs.size() >= config.units ? "more units than limits/units allows"
-            : entry.getUnit() >>> 32 != 0 ? "an id of 2^32 or more" : null;
+            : entry.getUnit() >>> 32 != 0 ? "an id of 2^32 or more"
+            : config.tls != null && config.tlsUnits && entry.getName().isEmpty() ? "no name, by which it could be proven" : null;
         if (wrong != null) {
             events.warn(Events.Kind.LISTING_REFUSED, "unit " + Long.toUnsignedString(entry.getUnit()) + " has "
                 + wrong + "; the entry is left out");
@@ -149,12 +150,12 @@
             runs.put(entry.getUnit(), run);
         }
         boolean sameRun = known != null && known.sameRun(entry.getBuild(), run.started);
-        boolean moved = sameRun && known.door != null && !((UnitLinks) known.door).at(address);
+        boolean moved = sameRun && known.door != null && !((UnitLinks) known.door).at(address, entry.getName());
         if (known != null && (!sameRun || moved)) leave(known);
         if (moved) ledger.removed(known.id);
         Unit unit = ledger.listed(entry.getUnit(), entry.getZone(), entry.getKind(), entry.getCell(), entry.getBuild(),
             run.started, entry.getWeight(), entry.getHealth() == Health.READY);
-        if (unit.door == null) unit.door = new UnitLinks(unit, address, config, chance, owner);
+        if (unit.door == null) unit.door = new UnitLinks(unit, address, entry.getName(), config, chance, owner);
         if (entry.getHealth() == Health.DRAINING) leave(unit);
     }
 
--- a/src/main/java/sprucerock/relay/UnitLink.java
+++ b/src/main/java/sprucerock/relay/UnitLink.java
@@ -38,6 +38,10 @@
         usedLast = now;
     }
 
+    sprucerock.model.Unit unit() {
+        return links.unit;
+    }
+
     /** Picks on it, those included that nobody waits for any more: the unit may still be at them. */
     int load() {
         return live.size() + forsaken;
@@ -53,6 +57,12 @@
         link.finish();
     }
 
+    /** Gets nothing new; closes once what is out on it has ended. */
+    void drain() {
+        if (idle()) retire();
+        else retired = true;
+    }
+
     void send(Exchange exchange, Moment now) {
         Rpc rpc = exchange.pick.rpc;
         Asked asked = (Asked) rpc.door;
--- a/src/main/java/sprucerock/relay/UnitLinks.java
+++ b/src/main/java/sprucerock/relay/UnitLinks.java
@@ -21,7 +21,7 @@
 final class UnitLinks {
     /** What the links need of the relay. */
     interface Owner {
-        void open(UnitLink link, InetSocketAddress to);
+        void open(UnitLink link, InetSocketAddress to, String name);
 
         void ended(Exchange exchange, Outcome outcome, byte[] body);
 
@@ -41,10 +41,14 @@
         void lost(Unit unit, String why);
 
         void misnamed(Unit unit, Hello other);
+
+        /** It was not proven to be the one meant, for that reason. */
+        void refused(Unit unit, String why);
     }
 
     final Unit unit;
     private final InetSocketAddress address;
+    private final String name;
     private final RelayConfig config;
     private final Owner owner;
     private final Chance chance;
@@ -53,18 +57,28 @@
     private Span pause;
     private Moment notBefore;
     private boolean left;
+    /** While old connections are replaced: until when, and which ones are left. */
+    private Moment movedBy;
+    private final ArrayDeque<UnitLink> old = new ArrayDeque<>();
+    private UnitLink replacement;
 
-    UnitLinks(Unit unit, InetSocketAddress address, RelayConfig config, Chance chance, Owner owner) {
+    UnitLinks(Unit unit, InetSocketAddress address, String name, RelayConfig config, Chance chance, Owner owner) {
         this.unit = unit;
         this.address = address;
+        this.name = name;
         this.config = config;
         this.chance = chance;
         this.owner = owner;
         pause = config.pauseFirst;
     }
 
-    boolean at(InetSocketAddress there) {
-        return address.equals(there);
+    boolean at(InetSocketAddress there, String called) {
+        return address.equals(there) && name.equals(called);
+    }
+
+    /** That its certificate has to carry. */
+    String name() {
+        return name;
     }
 
     void send(Exchange exchange) {
@@ -93,16 +107,56 @@
         if (more && connecting * config.picksEach < waiting.size()) open(now);
     }
 
-    private void open(Moment now) {
+    private UnitLink open(Moment now) {
         UnitLink link = new UnitLink(this, now);
         links.add(link);
-        owner.open(link, address);
+        owner.open(link, address, name);
+        return link;
+    }
+
+    /**
+     * What proves this relay and its units has changed: connections are replaced by new ones within a time, one after another,
+     * each old one only once the new one is there, and from a moment that is drawn, so that units see no storm.
+     */
+    void move(Span within) {
+        if (left) return;
+        Moment now = owner.now();
+        movedBy = now.plus(within);
+        old.clear();
+        for (UnitLink link : links) if (link.greeted && !link.retired) old.add(link);
+        replacement = null;
+        owner.at(now.plus(within.times(0.5 * chance.next())), this::moveNext);
+    }
+
+    private void moveNext() {
+        old.removeIf(link -> link.retired || !links.contains(link));
+        if (left || old.isEmpty() || replacement != null) return;
+        if (!movedBy.after(owner.now())) { // the new one can't be had, and what the old one was proven by counts no more
+            while (!old.isEmpty()) old.poll().drain();
+            return;
+        }
+        replacement = open(owner.now());
+    }
+
+    private void moved(UnitLink link) {
+        if (link != replacement) return;
+        replacement = null;
+        UnitLink gone = old.poll();
+        if (gone != null) gone.drain();
+        moveNext();
+    }
+
+    private void notMoved(UnitLink link) {
+        if (link != replacement) return;
+        replacement = null;
+        owner.at(owner.now().plus(config.pauseMost), this::moveNext);
     }
 
     void up(UnitLink link) {
         pause = config.pauseFirst;
         notBefore = null;
         drain(link);
+        moved(link);
         owner.at(owner.now().plus(config.idle), () -> closeIdle(link));
     }
 
@@ -134,7 +188,9 @@
     void down(UnitLink link, String why) {
         links.remove(link);
         if (left) return;
-        if (!link.greeted || !link.idle()) owner.lost(unit, why);
+        notMoved(link);
+        if (why.startsWith("TLS: ")) owner.refused(unit, why);
+        else if (!link.greeted || !link.idle()) owner.lost(unit, why);
         if (link.greeted && link.idle()) { // closed in good order
             if (!waiting.isEmpty() && links.isEmpty()) open(owner.now());
             return;
--- a/src/main/java/sprucerock/standin/ClientStandIn.java
+++ b/src/main/java/sprucerock/standin/ClientStandIn.java
@@ -93,6 +93,12 @@
 
     public ClientStandIn(Net net, TraceWriter trace, Limits limits, Site site, Manners manners, Ear ear, int number,
         InetSocketAddress relay, double perSecond, long seed) {
+        this(net, trace, limits, site, manners, ear, number, net::connect, relay, perSecond, seed);
+    }
+
+    /** One that connects in a way of its own. */
+    public ClientStandIn(Net net, TraceWriter trace, Limits limits, Site site, Manners manners, Ear ear, int number,
+        Redial.Connector connector, InetSocketAddress relay, double perSecond, long seed) {
         this.net = net;
         this.site = site;
         this.manners = manners;
@@ -102,7 +108,7 @@
         chance = new SplittableRandom(seed);
         customerTimes = new double[Math.max(1, site.customers().size())];
         java.util.Arrays.fill(customerTimes, 1);
-        redial = new Redial(net, relay, Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.CLIENT).setNumber(number)
+        redial = new Redial(net, connector, relay, Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.CLIENT).setNumber(number)
             .setName("client-" + number).build(), limits, trace, new Chance(seed), this);
     }
 
--- a/src/main/java/sprucerock/standin/SwitchStandIn.java
+++ b/src/main/java/sprucerock/standin/SwitchStandIn.java
@@ -28,6 +28,7 @@
     private final Chance pauses;
     private final Map<Integer, InetSocketAddress> relays = new HashMap<>();
     private final Map<Long, Redial> onward = new HashMap<>();
+    private Secure secure;
     private double lost;
     private Span delay = Span.ofMs(1);
 
@@ -39,13 +40,18 @@
         pauses = new Chance(seed);
     }
 
+    /** Speaks TLS with relays on either side, for all of them. */
+    public void secure(Secure with) {
+        secure = with;
+    }
+
     /** Opens a port for messages to a relay that is at an address. */
     public int port(int relay, InetSocketAddress at) throws IOException {
         relays.put(relay, at);
         return net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1000, limits.unsent(), () -> {
             From from = new From(relay);
             from.link = new FrameLink(net, hello(relay), limits, trace, from);
-            return from.link;
+            return secure == null ? from.link : secure.taken(secure.allRelays(), true, from.link);
         }).address().getPort();
     }
 
@@ -77,12 +83,13 @@
         public void frame(Kind kind, MessageLite head, byte[] body) {
             if (kind != Kind.TOLD || chance.nextDouble() < lost) return;
             int sender = link.other().getNumber();
-            Redial way = onward.computeIfAbsent((long) sender << 32 | to, key -> {
-                Redial made = new Redial(net, relays.get(to), hello(sender), limits, trace, pauses, new Deaf());
+            Redial onwards = onward.computeIfAbsent((long) sender << 32 | to, key -> {
+                Redial.Connector way = secure == null ? net::connect : secure.asRelays(Secure.relayName(to));
+                Redial made = new Redial(net, way, relays.get(to), hello(sender), limits, trace, pauses, new Deaf());
                 made.dial();
                 return made;
             });
-            net.at(net.now().plus(delay), () -> way.send(kind, head, body));
+            net.at(net.now().plus(delay), () -> onwards.send(kind, head, body));
         }
 
         @Override
--- a/src/main/java/sprucerock/standin/UnitStandIn.java
+++ b/src/main/java/sprucerock/standin/UnitStandIn.java
@@ -11,9 +11,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import sprucerock.net.LinkUser;
 import sprucerock.net.Net;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
+import sprucerock.tls.Credentials;
+import sprucerock.tls.TlsLink;
 import sprucerock.trace.TraceWriter;
 import sprucerock.wire.FrameLink;
 import sprucerock.wire.FrameUser;
@@ -78,6 +81,13 @@
     private int mostConnections = Integer.MAX_VALUE;
     private Span linkDelay = Span.ZERO;
     private final Counts counts = new Counts();
+    private Secure secure;
+    private Credentials shown;
+    private boolean wronglyShown;
+    private boolean askProof;
+    private Handshaker.How handshakes;
+    private Span handshakeBy = Span.ZERO;
+    private boolean truncates;
 
     public UnitStandIn(Net net, TraceWriter trace, Limits limits, int id, int build, int zone, int cores, double speed,
         BuildFault fault, Site site, Shared shared, Ear ear, long seed) {
@@ -202,11 +212,49 @@
         linkLoses = loses;
     }
 
-    private FrameLink session() {
+    /** Takes connections by TLS from now on; {@code proven}: whoever calls has to show a certificate. */
+    public void secure(Secure with, boolean proven) {
+        secure = with;
+        askProof = proven;
+        shown = with.unit(id);
+    }
+
+    /** Shows another certificate of its own from now on; connections stay. */
+    public void renewCertificate() {
+        if (!wronglyShown) shown = secure.unit(id);
+    }
+
+    /** Shows a wrong certificate, or the right one again; whoever is connected has to connect again. */
+    public void certificate(Secure.Fault fault, boolean on) {
+        wronglyShown = on;
+        shown = on ? secure.unit(id, fault) : secure.unit(id);
+        reconnect("its certificate changed");
+    }
+
+    /** Is slow at handshakes by so much, or stalls in them, or resets them; whoever is connected has to connect again. */
+    public void handshakes(String how, Span by, boolean on) {
+        handshakes = on ? Handshaker.How.valueOf(how.toUpperCase(java.util.Locale.ROOT)) : null;
+        handshakeBy = by;
+        if (on) reconnect("its handshakes changed");
+    }
+
+    /** Ends the connection in the middle of each answer, without TLS's close. */
+    public void truncates(boolean on) {
+        truncates = on;
+    }
+
+    private void reconnect(String why) {
+        for (Session session : new ArrayList<>(sessions)) session.link.cut(why);
+    }
+
+    private LinkUser session() {
         Session session = new Session();
         session.link = new FrameLink(net, Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.UNIT).setNumber(id)
             .setName("unit-" + id).build(), limits, trace, session);
-        return session.link;
+        session.proven = !wronglyShown;
+        if (secure == null) return session.link;
+        TlsLink tls = secure.taken(shown, askProof, session.link);
+        return handshakes == null ? tls : new Handshaker(net, handshakes, handshakeBy, tls);
     }
 
     private static final class Job {
@@ -220,6 +268,7 @@
 
     private final class Session implements FrameUser {
         private FrameLink link;
+        private boolean proven;
         private final Map<Long, Job> jobs = new HashMap<>();
 
         @Override
@@ -234,6 +283,7 @@
         @Override
         public void frame(Kind kind, MessageLite head, byte[] body) {
             if (kind == Kind.WORK) counts.add("came");
+            if (kind == Kind.WORK && !proven) trace.note("UNPROVEN", "unit=" + id + " by=" + link.other().getNumber());
             if (lost(linkLoses)) {
                 if (kind == Kind.WORK) counts.add("lost_on_way");
                 return;
@@ -410,6 +460,7 @@
             counts.add((gone ? "link_gone_" : rubbish ? "rubbish_" : "sent_") + result);
             if (rubbish) job.session.link.send(Kind.WORK, job.work, body); // what a unit never sends
             else job.session.link.send(Kind.DONE, done, body);
+            if (truncates) job.session.link.cut("truncated on purpose");
         };
         if (linkDelay.over(Span.ZERO)) net.at(net.now().plus(linkDelay), send);
         else send.run();
--- a/src/main/java/sprucerock/wire/Redial.java
+++ b/src/main/java/sprucerock/wire/Redial.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.MessageLite;
 import java.net.InetSocketAddress;
+import sprucerock.net.LinkUser;
 import sprucerock.net.Net;
 import sprucerock.stats.Chance;
 import sprucerock.time.Span;
@@ -13,7 +14,13 @@
     private static final Span MOST = Span.ofMs(2000); // what comes back is known again within this
     private static final Span CONNECT = Span.ofMs(1000);
 
+    /** How connections are made: by default as they are, or by TLS. */
+    public interface Connector {
+        void connect(InetSocketAddress to, Span within, long mostUnsent, LinkUser user);
+    }
+
     private final Net net;
+    private final Connector connector;
     private final InetSocketAddress to;
     private final Hello mine;
     private final Limits limits;
@@ -25,7 +32,12 @@
     private boolean stopped;
 
     public Redial(Net net, InetSocketAddress to, Hello mine, Limits limits, Tap tap, Chance chance, FrameUser user) {
+        this(net, net::connect, to, mine, limits, tap, chance, user);
+    }
+
+    public Redial(Net net, Connector connector, InetSocketAddress to, Hello mine, Limits limits, Tap tap, Chance chance, FrameUser user) {
         this.net = net;
+        this.connector = connector;
         this.to = to;
         this.mine = mine;
         this.limits = limits;
@@ -37,7 +49,7 @@
     public void dial() {
         if (stopped) return;
         link = new FrameLink(net, mine, limits, tap, this);
-        net.connect(to, CONNECT, limits.unsent(), link);
+        connector.connect(to, CONNECT, limits.unsent(), link);
     }
 
     public boolean usable() {
--- a/src/test/java/sprucerock/ArchitectureTest.java
+++ b/src/test/java/sprucerock/ArchitectureTest.java
@@ -29,14 +29,15 @@
             {"sim", "time model host ledger ."},
             {"net", "time"},
             {"net.nio", "time net"},
+            {"tls", "time stats net"},
             {"wire", "time stats net wire.v1"},
-            {"config", "time model wire"},
+            {"config", "time model wire tls"},
             {"figures", "ledger"},
-            {"relay", "time stats model host ledger config net wire wire.v1"},
+            {"relay", "time stats model host ledger config net tls wire wire.v1"},
             {"trace", "time net net.nio wire wire.v1"},
             {"judge", "time trace wire wire.v1"},
-            {"standin", "time stats net trace wire wire.v1"},
-            {"rehearsal", "time net net.nio trace judge figures ledger standin wire wire.v1"},
+            {"standin", "time stats net tls trace wire wire.v1"},
+            {"rehearsal", "time net net.nio tls trace judge figures ledger standin wire wire.v1"},
         };
     }
 
--- a/src/test/java/sprucerock/figures/ExportTest.java
+++ b/src/test/java/sprucerock/figures/ExportTest.java
@@ -49,7 +49,7 @@
                 for (int j = 0; j < 200; j++) Thread.onSpinWait();
             }
         });
-        try (Export export = new Export(keeper::snapshot, drift::get, keeper::kept, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+        try (Export export = new Export(keeper::snapshot, drift::get, keeper::kept, Map::of, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
             relay.start();
             HttpClient http = HttpClient.newHttpClient();
             double last = 0;
@@ -80,7 +80,7 @@
     }
 
     private static Export some(Keeper keeper) throws Exception {
-        return new Export(keeper::snapshot, () -> false, keeper::kept, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        return new Export(keeper::snapshot, () -> false, keeper::kept, Map::of, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
 
     private static Accounts accounts() {
--- a/src/test/java/sprucerock/judge/JudgeTest.java
+++ b/src/test/java/sprucerock/judge/JudgeTest.java
@@ -306,6 +306,13 @@
         broken(2, "an effect happened twice");
     }
 
+    @Test
+    public void check6AUnitThatShowedAWrongCertificateGotAnRpc() {
+        served(10, 1, READ, 1);
+        note(9, "unit-1", "UNPROVEN", "unit=1 by=0");
+        broken(6, "a unit that showed a wrong certificate got an RPC");
+    }
+
     @Test
     public void rule3SentLongAfterTheDrain() {
         in(5, 9, "ROSTER-0", "LISTING", "", "form: CHANGES entries { unit: 1 run: 1 build: 1 health: DRAINING }");
--- a/src/test/java/sprucerock/rehearsal/ScriptTest.java
+++ b/src/test/java/sprucerock/rehearsal/ScriptTest.java
@@ -42,6 +42,7 @@
             {"at 1s offer bad errors 130%\n", "d:6:24: 130% is more than 100%"},
             {"customer north 40%\n", "the shares of the customers add up to 40%, not 100%"},
             {"lasts 9\n", "d:6:7: mismatched input '9' expecting SPAN"},
+            {"at 1s unit 0 certificate expired for 2s\n", "d:6:14: the day has no TLS; a line \"tls\" gives it some"},
             {"relays 51\n", "d:6:8: 51 is more than 50"},
             {"at 1s traffic times 0 for 2s\n", "a factor is above 0"},
             {"seed 4 €\n", "d:6:8: "},
