--- /dev/null
+++ b/src/main/java/sprucerock/controller/Codec.java
@@ -0,0 +1,116 @@
+package sprucerock.controller;
+
+import java.util.Locale;
+import sprucerock.controller.v1.Ballot;
+import sprucerock.controller.v1.Delivery;
+import sprucerock.controller.v1.Input;
+import sprucerock.controller.v1.State;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/** Between the core and what is kept of it on disk: inputs are applied from their records, a state is written and read. */
+final class Codec {
+    private Codec() {}
+
+    /** What an input came to, for whoever brought it: an {@code Answer}, a {@code Taken}, an operator's refusal, or null. */
+    static Object apply(Releases core, Input input) {
+        Moment now = Moment.ofMs(input.getAtMs());
+        long wall = input.getWallMs();
+        return switch (input.getWhatCase()) {
+            case ANNOUNCED -> core.announced(input.getAnnounced().getDelivery(), input.getAnnounced().getBuild(), input.getAnnounced().getArtifact(),
+                input.getAnnounced().getSource(), now, wall);
+            case CAST -> core.cast(input.getCast().getRelay(), input.getCast().getBuild(), input.getCast().getStage(),
+                Releases.Say.valueOf(input.getCast().getSay()), now, wall);
+            case WORD -> core.word(Releases.Action.valueOf(input.getWord().getAction()), input.getWord().getBuild(), input.getWord().getWho(),
+                input.getWord().getReason(), now, wall);
+            case READY -> {
+                core.ready(input.getReady().getBuild(), input.getReady().getUnits(), now, wall);
+                yield null;
+            }
+            case TICK -> {
+                core.tick(now, wall);
+                yield null;
+            }
+            case RESTARTED -> {
+                core.restarted(input.getRestarted().getDownMs(), now, wall);
+                yield null;
+            }
+            case DELIVERED -> {
+                core.delivered(input.getDelivered().getSequence());
+                yield null;
+            }
+            default -> throw new IllegalArgumentException("an input of an unknown kind, written by a newer controller");
+        };
+    }
+
+    static State write(Releases core, long atMs) {
+        State.Builder state = State.newBuilder().setAtMs(atMs).setSequence(core.sequence).setDelivered(core.delivered).setPresent(core.present.build)
+            .setEarlier(core.earlier).setEpoch(core.epoch);
+        for (Release one : core.releases.values()) {
+            sprucerock.controller.v1.Release.Builder release = sprucerock.controller.v1.Release.newBuilder().setBuild(one.build).setArtifact(one.artifact)
+                .setStanding(one.standing.name()).setStage(one.stage).setSinceMs(ms(one.since)).setHeldMs((long) one.heldFor.ms()).setHeld(one.held)
+                .setUnits(one.units).setClockRan(one.clockRan);
+            if (one.clock != null) release.setStageClockMs(ms(one.clock)).setHasClock(true);
+            if (one.held) release.setHeldSinceMs(ms(one.heldSince));
+            if (one.clockStopped != null) release.setClockStoppedMs(ms(one.clockStopped)).setHasClockStopped(true);
+            for (Release.Step step : one.steps()) {
+                release.addSteps(sprucerock.controller.v1.Step.newBuilder().setSequence(step.sequence()).setAtMs(ms(step.at())).setWallMs(step.wallMs())
+                    .setStanding(step.standing().name()).setStage(step.stage()).setCause(step.cause()));
+            }
+            state.addReleases(release);
+        }
+        core.ballots.forEach((relay, vote) -> {
+            Ballot.Builder ballot = Ballot.newBuilder().setRelay(relay).setBuild(vote.build).setStage(vote.stage).setSay(vote.say.name()).setInSecond(vote.inSecond);
+            if (vote.until != null) ballot.setUntilMs(ms(vote.until));
+            if (vote.second != null) ballot.setSecondMs(ms(vote.second));
+            state.addBallots(ballot);
+        });
+        for (Releases.Delivery one : core.deliveries.values()) {
+            state.addDeliveries(Delivery.newBuilder().setId(one.id()).setAtMs(ms(one.at())).setAnswer(one.answer().name()).setContent(one.content()));
+        }
+        return state.build();
+    }
+
+    private static long ms(Moment moment) {
+        return Math.round(moment.ms());
+    }
+
+    static void read(State state, Releases core) {
+        core.releases.clear();
+        core.sequence = state.getSequence();
+        core.delivered = state.getDelivered();
+        core.earlier = state.getEarlier();
+        core.epoch = state.getEpoch();
+        for (sprucerock.controller.v1.Release one : state.getReleasesList()) {
+            Release release = new Release(one.getBuild(), one.getArtifact(), Moment.ofMs(one.getSinceMs()));
+            release.standing = Release.Standing.valueOf(one.getStanding().toUpperCase(Locale.ROOT));
+            release.stage = one.getStage();
+            release.heldFor = Span.ofMs(one.getHeldMs());
+            release.held = one.getHeld();
+            release.units = one.getUnits();
+            release.clockRan = one.getClockRan();
+            if (one.getHasClock()) release.clock = Moment.ofMs(one.getStageClockMs());
+            if (one.getHeld()) release.heldSince = Moment.ofMs(one.getHeldSinceMs());
+            if (one.getHasClockStopped()) release.clockStopped = Moment.ofMs(one.getClockStoppedMs());
+            for (sprucerock.controller.v1.Step step : one.getStepsList()) {
+                release.add(new Release.Step(step.getSequence(), Moment.ofMs(step.getAtMs()), step.getWallMs(), Release.Standing.valueOf(step.getStanding()),
+                    step.getStage(), step.getCause()));
+            }
+            core.releases.put(release.build, release);
+        }
+        core.present = core.releases.get(state.getPresent());
+        for (Ballot one : state.getBallotsList()) {
+            Releases.Ballot vote = new Releases.Ballot();
+            vote.build = one.getBuild();
+            vote.stage = one.getStage();
+            vote.say = Releases.Say.valueOf(one.getSay());
+            vote.until = Moment.ofMs(one.getUntilMs());
+            vote.second = Moment.ofMs(one.getSecondMs());
+            vote.inSecond = one.getInSecond();
+            core.ballots.put(one.getRelay(), vote);
+        }
+        for (Delivery one : state.getDeliveriesList()) {
+            core.deliveries.put(one.getId(), new Releases.Delivery(one.getId(), Moment.ofMs(one.getAtMs()), Releases.Answer.valueOf(one.getAnswer()), one.getContent()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/controller/Engine.java
@@ -0,0 +1,184 @@
+package sprucerock.controller;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import sprucerock.controller.v1.Input;
+import sprucerock.controller.v1.Restarted;
+import sprucerock.controller.v1.State;
+import sprucerock.controller.v1.Tick;
+import sprucerock.time.Moment;
+
+/**
+ * The releases with their memory: what comes in a turn goes to the disk together, and only then happens and is answered. So nothing
+ * is ever told that a crash could take back. One thread, which waits for the disk.
+ */
+public final class Engine {
+    /** Clocks: the wall's for people and for how long it was down; the other one never goes back. */
+    public interface Clock {
+        long wallMs();
+
+        long steadyMs();
+    }
+
+    /** What an input came to: an answer, or why the disk did not take it. */
+    public record Outcome(Object answer, String refused) {}
+
+    private record Waiting(Input.Builder input, Consumer<Outcome> done) {}
+
+    private static final int SNAPSHOT_EVERY = 10_000; // some hundred milliseconds to read back
+    private static final int MOST_WAITING = 20_000;
+
+    private final Store store;
+    private final Clock clock;
+    private final Consumer<String> say;
+    private final Releases core;
+    private final List<Waiting> waiting = new ArrayList<>();
+    private boolean replaying = true;
+    private long lastAtMs;
+    private long lastWallMs;
+    private long steadyAtStart;
+    private long atStart;
+    private String failed;
+    private boolean lost;
+
+    /** {@code say} is told in one line what is the matter with the disk. */
+    Engine(Disk disk, int snapshotEvery, Rules rules, int places, int first, Clock clock, Releases.Host host, Consumer<String> say) {
+        store = new Store(disk, snapshotEvery);
+        this.clock = clock;
+        this.say = say;
+        core = new Releases(rules, places, first, Moment.ofMs(0), (release, step) -> {
+            if (!replaying) host.changed(release, step);
+        });
+    }
+
+    /** One that keeps its files in a folder of the machine's. */
+    public static Engine in(java.nio.file.Path folder, Rules rules, int places, int first, Clock clock, Releases.Host host, Consumer<String> say) throws IOException {
+        return new Engine(new FileDisk(folder), SNAPSHOT_EVERY, rules, places, first, clock, host, say);
+    }
+
+    /**
+     * Comes back to where the last life was, and begins another one.
+     *
+     * @throws Store.DamagedException if the files are damaged other than at their end
+     */
+    public void start() throws IOException, Store.DamagedException {
+        boolean[] before = new boolean[1];
+        store.open(new Store.Reader() {
+            @Override
+            public void state(State state) {
+                Codec.read(state, core);
+                lastAtMs = state.getAtMs();
+                lastWallMs = state.getWallMs();
+                before[0] = true;
+            }
+
+            @Override
+            public void input(Input input) {
+                lastAtMs = input.getAtMs();
+                lastWallMs = input.getWallMs();
+                Codec.apply(core, input);
+                before[0] = true;
+            }
+        }, say);
+        long wall = clock.wallMs();
+        long down = before[0] ? wall - lastWallMs : 0;
+        atStart = lastAtMs + Math.max(0, Math.min(down, 24 * 3_600_000L));
+        steadyAtStart = clock.steadyMs();
+        Input.Builder restarted = Input.newBuilder().setRestarted(Restarted.newBuilder().setDownMs(down));
+        store.add(stamped(restarted));
+        store.force();
+        replaying = false; // what this leads to is news
+        Codec.apply(core, restarted.build());
+    }
+
+    public Releases releases() {
+        return core;
+    }
+
+    /** The controller's time: goes on through restarts, and never back. */
+    public Moment now() {
+        return Moment.ofMs(atMs());
+    }
+
+    private long atMs() {
+        return Math.max(lastAtMs, atStart + clock.steadyMs() - steadyAtStart);
+    }
+
+    private Input stamped(Input.Builder input) {
+        lastAtMs = atMs();
+        lastWallMs = clock.wallMs();
+        return input.setAtMs(lastAtMs).setWallMs(lastWallMs).build();
+    }
+
+    /** What it is that the disk does not take; null while all is well. */
+    public String failed() {
+        return failed;
+    }
+
+    /** Something came in; {@code done} is told once it has happened, or was refused. It waits for the turn's end. */
+    public void submit(Input.Builder input, Consumer<Outcome> done) {
+        if (waiting.size() >= MOST_WAITING) done.accept(new Outcome(null, "so much waits already"));
+        else waiting.add(new Waiting(input, done));
+    }
+
+    /** At a turn's end: what came is kept, then happens. */
+    public void commit() {
+        if (core.due(now()) && waiting.isEmpty()) submit(Input.newBuilder().setTick(Tick.getDefaultInstance()), outcome -> { });
+        if (waiting.isEmpty()) return;
+        List<Waiting> turn = List.copyOf(waiting);
+        waiting.clear();
+        int kept = 0;
+        try {
+            for (Waiting one : turn) {
+                store.add(stamped(one.input));
+                kept++;
+            }
+        } catch (IOException e) {
+            complain("it takes no more: " + e.getMessage());
+        }
+        if (kept > 0 && !force()) kept = 0;
+        if (kept == turn.size()) failed = null;
+        for (int i = 0; i < turn.size(); i++) {
+            Waiting one = turn.get(i);
+            one.done.accept(i < kept ? new Outcome(Codec.apply(core, one.input.build()), null) : new Outcome(null, failed));
+        }
+        if (kept > 0 && store.full()) snapshot();
+    }
+
+    /** A disk that did not force may have lost what it took: nothing more can be promised in this life. */
+    private boolean force() {
+        if (lost) return false;
+        try {
+            store.force();
+            return true;
+        } catch (IOException e) {
+            lost = true;
+            complain("what was written may be lost: " + e.getMessage() + "; nothing more is taken until the controller is restarted");
+            return false;
+        }
+    }
+
+    private void complain(String what) {
+        if (!what.equals(failed)) say.accept("the store: " + what);
+        failed = what;
+    }
+
+    private void snapshot() {
+        try {
+            store.snapshot(Codec.write(core, lastAtMs).toBuilder().setWallMs(lastWallMs).build());
+        } catch (IOException e) {
+            complain("no snapshot: " + e.getMessage()); // the inputs are there: it is tried again with the next
+        }
+    }
+
+    /** Inputs kept so far, over all lives. */
+    public long inputs() {
+        return store.number();
+    }
+
+    public void close() throws IOException {
+        store.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/desk/DeskConfig.java
@@ -0,0 +1,107 @@
+package sprucerock.desk;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermission;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import sprucerock.config.Address;
+import sprucerock.config.ConfigException;
+import sprucerock.config.Node;
+import sprucerock.controller.Rules;
+import sprucerock.time.Span;
+
+/** The configuration of a controller, checked; controller.xsd names the units and the values used where one is left out. */
+public final class DeskConfig {
+    /** Who may announce, and how it signs. */
+    public record Source(String name, Signatures.Form form, List<byte[]> secrets, int aSecond) {}
+
+    public final String name;
+    public final Path folder;
+    public final int firstBuild;
+    /** Units that the fleet has. */
+    public final int places;
+    public final InetSocketAddress relays;
+    public final int mostRelays;
+    public final long unsent;
+    public final Span tellEvery;
+    public final InetSocketAddress hooks;
+    public final int body;
+    public final Span window;
+    public final int atOnce;
+    public final Span readWithin;
+    public final Map<String, Source> sources;
+    public final InetSocketAddress api;
+    public final String token;
+    public final Rules rules;
+
+    /** Reads and checks a file; the first thing that is wrong ends it. */
+    public static DeskConfig read(Path file) throws ConfigException {
+        return new DeskConfig(Node.read(file, "/sprucerock/controller.xsd"));
+    }
+
+    private DeskConfig(Node root) throws ConfigException {
+        name = root.text("name");
+        folder = Path.of(root.text("folder"));
+        firstBuild = root.count("first-build");
+        places = root.count("places");
+        if (firstBuild > 65_535) throw root.wrong("first-build is 65535 at most");
+        Node relayNode = root.child("relays");
+        relays = address(relayNode);
+        mostRelays = relayNode.count("most");
+        unsent = relayNode.bytes("unsent");
+        tellEvery = relayNode.span("tell-every");
+        Node hookNode = root.child("hooks");
+        hooks = address(hookNode);
+        body = (int) Math.min(hookNode.bytes("body"), 16 << 20);
+        window = hookNode.span("window");
+        atOnce = hookNode.count("at-once");
+        readWithin = hookNode.span("read-within");
+        Map<String, Source> found = new TreeMap<>();
+        for (Node node : hookNode.all("source")) {
+            Signatures.Form form = Signatures.Form.valueOf(node.text("form").toUpperCase(Locale.ROOT));
+            List<byte[]> secrets;
+            try {
+                secrets = Signatures.secrets(secret(node, "secrets"), form);
+            } catch (IllegalArgumentException e) {
+                throw node.wrong("secrets: a line of " + node.text("secrets") + " is no base64");
+            }
+            if (secrets.isEmpty()) throw node.wrong("secrets: " + node.text("secrets") + " holds none");
+            if (found.put(node.text("name"), new Source(node.text("name"), form, secrets, node.count("a-second"))) != null) throw node.wrong("named twice");
+        }
+        sources = found;
+        Node apiNode = root.child("api");
+        api = address(apiNode);
+        token = secret(apiNode, "token").strip();
+        if (token.length() < 16) throw apiNode.wrong("token: " + apiNode.text("token") + " holds fewer than 16 characters");
+        List<Rules.Stage> stages = root.all("stage").stream().map(stage -> new Rules.Stage(stage.number("share"), stage.number("cap"))).toList();
+        Node votes = root.child("votes");
+        rules = new Rules(stages, Rules.Control.valueOf(votes.text("control").toUpperCase(Locale.ROOT)), votes.count("on"), votes.count("hold"),
+            votes.count("back"), votes.span("life"), votes.span("least"), votes.span("step"), votes.span("start-within"), votes.span("going-back"),
+            votes.span("watch"), votes.count("a-second"));
+    }
+
+    private static InetSocketAddress address(Node node) throws ConfigException {
+        InetSocketAddress address = Address.of(node.text("host"), node.count("port"));
+        if (address == null) throw node.wrong("host \"" + node.text("host") + "\" is no IPv4 or IPv6 address in numbers");
+        return address;
+    }
+
+    /** A secret that others may read is none. */
+    private static String secret(Node node, String key) throws ConfigException {
+        Path file = Path.of(node.text(key));
+        try {
+            Set<PosixFilePermission> open = Files.getPosixFilePermissions(file);
+            open.removeAll(Set.of(PosixFilePermission.OWNER_READ, PosixFilePermission.OWNER_WRITE, PosixFilePermission.OWNER_EXECUTE));
+            if (!open.isEmpty()) throw node.wrong(key + ": " + file + " is open to others than its owner; chmod 600 it");
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw node.wrong(key + ": " + file + " can't be read: " + e.getClass().getSimpleName());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/desk/HttpDoor.java
@@ -0,0 +1,310 @@
+package sprucerock.desk;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
+import io.undertow.server.handlers.RequestLimitingHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.time.Instant;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.xnio.Options;
+import sprucerock.controller.Engine;
+import sprucerock.controller.Release;
+import sprucerock.controller.Releases;
+import sprucerock.controller.v1.Announced;
+import sprucerock.controller.v1.Input;
+import sprucerock.controller.v1.Ready;
+import sprucerock.controller.v1.Word;
+import sprucerock.time.Moment;
+
+/**
+ * HTTP: webhooks from build pipelines, and the operators' API. Bodies, senders' slowness, rates and what is under way are bounded;
+ * what is taken is answered once it is on disk. Docs: operators/webhooks.md.
+ */
+final class HttpDoor {
+    private static final int MOST_API_BODY = 16 * 1024;
+    private static final int SLOW_MS = 5000;
+
+    private final DeskConfig config;
+    private final Desk desk;
+    private final Announcements announcements;
+    private final Map<String, Rate> rates = new TreeMap<>();
+    private Undertow hooks;
+    private Undertow api;
+
+    HttpDoor(DeskConfig config, Desk desk) throws IOException {
+        this.config = config;
+        this.desk = desk;
+        announcements = new Announcements();
+        for (DeskConfig.Source source : config.sources.values()) rates.put(source.name(), new Rate(source.aSecond(), System.currentTimeMillis()));
+    }
+
+    void start() {
+        hooks = server(config.hooks, (int) config.readWithin.ms(), new RequestLimitingHandler(config.atOnce, config.atOnce, this::hook));
+        api = server(config.api, SLOW_MS, new RequestLimitingHandler(50, 50, this::operator));
+        hooks.start();
+        api.start();
+    }
+
+    private static Undertow server(InetSocketAddress at, int slowMs, HttpHandler handler) {
+        return Undertow.builder().addHttpListener(at.getPort(), at.getAddress().getHostAddress()).setHandler(handler).setIoThreads(2).setWorkerThreads(2)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 30_000).setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, slowMs)
+            .setSocketOption(Options.READ_TIMEOUT, slowMs).setSocketOption(Options.WRITE_TIMEOUT, slowMs).build();
+    }
+
+    InetSocketAddress hooksAt() {
+        return (InetSocketAddress) hooks.getListenerInfo().get(0).getAddress();
+    }
+
+    InetSocketAddress apiAt() {
+        return (InetSocketAddress) api.getListenerInfo().get(0).getAddress();
+    }
+
+    void stop() {
+        hooks.stop();
+        api.stop();
+    }
+
+    private static void answer(HttpServerExchange exchange, int status, JsonNode text) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        if (status == 429 || status == 503) exchange.getResponseHeaders().put(Headers.RETRY_AFTER, "5");
+        exchange.getResponseSender().send(text + "\n");
+    }
+
+    private static void answer(HttpServerExchange exchange, int status, String answer, String detail) {
+        ObjectNode text = Announcements.JSON.createObjectNode().put("answer", answer);
+        if (detail != null) text.put("detail", detail);
+        answer(exchange, status, text);
+    }
+
+    /** Reads a whole body within the limits, then goes on. */
+    private static void body(HttpServerExchange exchange, int most, Consumer<byte[]> then) {
+        if (exchange.getRequestContentLength() > most) {
+            exchange.setPersistent(false);
+            answer(exchange, 413, "too_large", "more than " + most + " bytes");
+            return;
+        }
+        exchange.setMaxEntitySize(most); // for bodies that do not say their length
+        exchange.getRequestReceiver().receiveFullBytes((same, bytes) -> then.accept(bytes), (same, e) -> {
+            boolean large = e instanceof RequestTooBigException || e instanceof Receiver.RequestToLargeException;
+            answer(exchange, large ? 413 : 400, large ? "too_large" : "broken_off", null);
+        });
+    }
+
+    /** Goes on on the controller's loop, and leaves the exchange open until something answers it. */
+    private void onLoop(HttpServerExchange exchange, Runnable what) {
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> desk.post(() -> {
+            try {
+                what.run();
+            } catch (RuntimeException e) {
+                desk.broken(e);
+                answer(exchange, 500, "fault", null);
+            }
+        }));
+    }
+
+    // Webhooks.
+
+    private void hook(HttpServerExchange exchange) {
+        String path = exchange.getRequestPath();
+        DeskConfig.Source source = path.startsWith("/hooks/") ? config.sources.get(path.substring(7)) : null;
+        if (source == null) {
+            answer(exchange, 404, "no_such_source", null);
+            return;
+        }
+        if (!exchange.getRequestMethod().equals(Methods.POST)) {
+            answer(exchange, 405, "post_only", null);
+            return;
+        }
+        if (!rates.get(source.name()).take(System.currentTimeMillis())) {
+            answer(exchange, 429, "too_often", "more than " + source.aSecond() + " a second");
+            return;
+        }
+        body(exchange, config.body, bytes -> signed(exchange, source, bytes));
+    }
+
+    private void signed(HttpServerExchange exchange, DeskConfig.Source source, byte[] bytes) {
+        List<String> names = Signatures.headers(source.form());
+        Signatures.Headers headers = new Signatures.Headers(header(exchange, names.get(0)), header(exchange, names.get(1)), header(exchange, names.get(2)));
+        Signatures.Verdict verdict = Signatures.check(source.form(), headers, bytes, source.secrets(), System.currentTimeMillis() / 1000, config.window);
+        if (verdict.refused() != null) {
+            answer(exchange, 401, "not_signed", verdict.refused());
+            return;
+        }
+        Announcements.Announcement announced;
+        try {
+            announced = announcements.read(bytes);
+        } catch (Announcements.BadBodyException e) {
+            answer(exchange, 400, "no_announcement", e.getMessage());
+            return;
+        }
+        onLoop(exchange, () -> announce(exchange, source.name() + "/" + verdict.id(), announced.build(), announced.artifact(), source.name()));
+    }
+
+    private static String header(HttpServerExchange exchange, String name) {
+        return exchange.getRequestHeaders().getFirst(new HttpString(name));
+    }
+
+    private void announce(HttpServerExchange exchange, String delivery, int build, String artifact, String source) {
+        desk.submit(Input.newBuilder().setAnnounced(Announced.newBuilder().setDelivery(delivery).setBuild(build).setArtifact(artifact).setSource(source)),
+            outcome -> {
+                if (outcome.refused() != null) {
+                    answer(exchange, 503, "not_kept", outcome.refused());
+                    return;
+                }
+                Releases.Answer answer = (Releases.Answer) outcome.answer();
+                int status = switch (answer) {
+                    case TAKEN -> 202;
+                    case AGAIN, KNOWN -> 200;
+                    case CONTRADICTS, TOO_OLD -> 409;
+                    case TOO_MANY -> 503;
+                };
+                answer(exchange, status, answer.name().toLowerCase(Locale.ROOT), null);
+            });
+    }
+
+    // Operators.
+
+    private void operator(HttpServerExchange exchange) {
+        String given = header(exchange, "Authorization");
+        boolean known = given != null && MessageDigest.isEqual(given.getBytes(StandardCharsets.UTF_8), ("Bearer " + config.token).getBytes(StandardCharsets.UTF_8));
+        if (!known) {
+            answer(exchange, 401, "no_token", "Authorization: Bearer and the token are needed");
+            return;
+        }
+        String[] path = exchange.getRequestPath().substring(1).split("/", -1);
+        boolean get = exchange.getRequestMethod().equals(Methods.GET);
+        if (get && path.length == 1 && path[0].equals("releases")) {
+            onLoop(exchange, () -> answer(exchange, 200, list()));
+        } else if (get && path.length == 2 && path[0].equals("releases")) {
+            onLoop(exchange, () -> show(exchange, number(path[1])));
+        } else if (!get) {
+            body(exchange, MOST_API_BODY, bytes -> word(exchange, path, bytes));
+        } else {
+            answer(exchange, 404, "no_such_thing", null);
+        }
+    }
+
+    private static int number(String text) {
+        return text.matches("[0-9]{1,5}") ? Integer.parseInt(text) : -1;
+    }
+
+    private void word(HttpServerExchange exchange, String[] path, byte[] bytes) {
+        JsonNode body;
+        try {
+            body = Announcements.JSON.readTree(bytes.length == 0 ? "{}".getBytes(StandardCharsets.UTF_8) : bytes);
+        } catch (JsonProcessingException e) {
+            answer(exchange, 400, "no_json", e.getOriginalMessage());
+            return;
+        } catch (IOException e) {
+            answer(exchange, 400, "no_json", null);
+            return;
+        }
+        if (path.length == 1 && path[0].equals("releases")) {
+            announceByHand(exchange, body);
+        } else if (path.length == 2 && path[0].equals("fleet")) {
+            int units = body.path("units").asInt(-1);
+            int build = number(path[1]);
+            if (units < 0 || build < 1) answer(exchange, 400, "no_units", "{\"units\": n} is needed");
+            else onLoop(exchange, () -> desk.submit(Input.newBuilder().setReady(Ready.newBuilder().setBuild(build).setUnits(units)), outcome -> done(exchange, outcome)));
+        } else if (path.length == 3 && path[0].equals("releases") && path[2].matches("hold|resume|withdraw")) {
+            String who = body.path("who").asText("");
+            String reason = body.path("reason").asText("");
+            boolean said = !who.isBlank() && !reason.isBlank() && who.length() <= 100 && reason.length() <= 500;
+            if (!said) answer(exchange, 400, "no_reason", "{\"who\": ..., \"reason\": ...} are needed");
+            else onLoop(exchange, () -> desk.submit(Input.newBuilder().setWord(Word.newBuilder().setAction(path[2].toUpperCase(Locale.ROOT)).setBuild(number(path[1]))
+                .setWho(who).setReason(reason)), outcome -> done(exchange, outcome)));
+        } else {
+            answer(exchange, 404, "no_such_thing", null);
+        }
+    }
+
+    private void announceByHand(HttpServerExchange exchange, JsonNode body) {
+        int build = body.path("build").asInt(-1);
+        String artifact = body.path("artifact").asText("");
+        String who = body.path("who").asText("");
+        if (build < 1 || build > 65_535 || artifact.isBlank() || artifact.length() > 200 || who.isBlank() || who.length() > 100) {
+            answer(exchange, 400, "no_announcement", "build from 1 to 65535, artifact and who are needed");
+        } else {
+            onLoop(exchange, () -> announce(exchange, "hand/" + who + "/" + build + "/" + artifact, build, artifact, who));
+        }
+    }
+
+    private static void done(HttpServerExchange exchange, Engine.Outcome outcome) {
+        if (outcome.refused() != null) answer(exchange, 503, "not_kept", outcome.refused());
+        else if (outcome.answer() != null) answer(exchange, 409, "no_effect", (String) outcome.answer());
+        else answer(exchange, 200, "done", null);
+    }
+
+    private ObjectNode brief(Release release) {
+        Releases releases = desk.engine().releases();
+        ObjectNode node = Announcements.JSON.createObjectNode().put("build", release.build).put("artifact", release.artifact)
+            .put("standing", release.standing().name().toLowerCase(Locale.ROOT)).put("stage", release.stage()).put("held", release.held())
+            .put("units", release.units()).put("units_wanted", releases.wanted(release));
+        if (release == releases.present()) node.put("present", true);
+        if (release.build == releases.earlier()) node.put("serves", true);
+        return node;
+    }
+
+    private ObjectNode list() {
+        ObjectNode all = Announcements.JSON.createObjectNode();
+        ArrayNode list = all.putArray("releases");
+        for (Release one : desk.engine().releases().all()) list.add(brief(one));
+        all.put("epoch", desk.engine().releases().epoch()).put("inputs", desk.engine().inputs());
+        if (desk.engine().failed() != null) all.put("store", desk.engine().failed());
+        return all;
+    }
+
+    private void show(HttpServerExchange exchange, int build) {
+        Releases releases = desk.engine().releases();
+        Release release = releases.of(build);
+        if (release == null) {
+            answer(exchange, 404, "no_such_build", null);
+            return;
+        }
+        ObjectNode node = brief(release);
+        ArrayNode steps = node.putArray("steps");
+        for (Release.Step step : release.steps()) {
+            steps.addObject().put("sequence", step.sequence()).put("at", Instant.ofEpochMilli(step.wallMs()).toString())
+                .put("standing", step.standing().name().toLowerCase(Locale.ROOT)).put("stage", step.stage()).put("cause", step.cause());
+        }
+        if (release == releases.present()) {
+            Moment now = desk.engine().now();
+            ArrayNode waits = node.putArray("waits_for");
+            releases.waitsFor(now).forEach(waits::add);
+            ObjectNode votes = node.putObject("votes");
+            for (Releases.Say say : Releases.Say.values()) {
+                if (say == Releases.Say.NOTHING) continue;
+                ArrayNode relays = votes.putArray(say.name().toLowerCase(Locale.ROOT));
+                releases.standing(say, now).forEach(relays::add);
+            }
+            ArrayNode silent = node.putArray("silent");
+            for (int relay : desk.relays()) {
+                boolean voted = false;
+                for (Releases.Say say : Releases.Say.values()) voted |= say != Releases.Say.NOTHING && releases.standing(say, now).contains(relay);
+                if (!voted) silent.add(relay);
+            }
+        }
+        answer(exchange, 200, node);
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/desk/RelaysDoor.java
@@ -0,0 +1,156 @@
+package sprucerock.desk;
+
+import com.google.protobuf.MessageLite;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import sprucerock.controller.Releases;
+import sprucerock.controller.v1.Cast;
+import sprucerock.controller.v1.Input;
+import sprucerock.net.Net;
+import sprucerock.net.Timers;
+import sprucerock.time.Span;
+import sprucerock.wire.FrameLink;
+import sprucerock.wire.FrameUser;
+import sprucerock.wire.Kind;
+import sprucerock.wire.Limits;
+import sprucerock.wire.Tap;
+import sprucerock.wire.v1.Hello;
+import sprucerock.wire.v1.News;
+import sprucerock.wire.v1.Role;
+import sprucerock.wire.v1.Stand;
+import sprucerock.wire.v1.Taken;
+import sprucerock.wire.v1.Vote;
+import sprucerock.wire.v1.Voted;
+
+/**
+ * The relays' links: each is told the news as it stands when it comes, at each change and now and then; of a relay that does not read
+ * nothing is kept but that it is behind, and the newest state is told once it reads. Votes are recorded before they are answered.
+ */
+final class RelaysDoor {
+    private static final byte[] NO_BODY = {};
+
+    private final Net net;
+    private final DeskConfig config;
+    private final Limits limits;
+    private final Tap tap;
+    private final Desk desk;
+    private final Set<Session> sessions = new LinkedHashSet<>();
+    private Net.Listener listener;
+
+    RelaysDoor(Net net, DeskConfig config, Tap tap, Desk desk) {
+        this.net = net;
+        this.config = config;
+        this.tap = tap;
+        this.desk = desk;
+        limits = new Limits(64 * 1024, Math.max(config.unsent, 64 * 1024), Span.ofMs(2000));
+    }
+
+    InetSocketAddress start() throws IOException {
+        listener = net.listen(config.relays, config.mostRelays, limits.unsent(), () -> {
+            Session session = new Session();
+            session.link = new FrameLink(net, Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.DESK).setName(config.name).build(), limits, tap, session);
+            return session.link;
+        });
+        push();
+        return listener.address();
+    }
+
+    void stop() {
+        listener.close();
+        for (Session session : Set.copyOf(sessions)) session.link.finish();
+    }
+
+    /** Relays that are linked, by their numbers. */
+    Set<Integer> relays() {
+        Set<Integer> found = new java.util.TreeSet<>();
+        for (Session session : sessions) found.add(session.link.other().getNumber());
+        return found;
+    }
+
+    private void push() {
+        tellAll();
+        net.at(net.now().plus(config.tellEvery), this::push);
+    }
+
+    void tellAll() {
+        for (Session session : sessions) session.tell();
+    }
+
+    private News news() {
+        Releases.News news = desk.engine().releases().news();
+        Stand stand = switch (news.standing()) {
+            case ON_TRIAL -> Stand.ON_TRIAL;
+            case GOING_BACK -> Stand.GOING_BACK;
+            case RELEASED -> Stand.RELEASED;
+            default -> Stand.WITHDRAWN;
+        };
+        return News.newBuilder().setBuild(news.build()).setStage(news.stage()).setStanding(stand).setCap(news.cap())
+            .setLastedUs(Math.max(0, (long) (desk.engine().now().since(news.since()).ms() * 1000))).setEpoch(desk.engine().releases().epoch())
+            .setSequence(desk.engine().releases().sequence()).build();
+    }
+
+    private final class Session implements FrameUser {
+        private FrameLink link;
+        private Timers.Timer behind;
+
+        @Override
+        public void greeted(FrameLink made, Hello other) {
+            if (other.getRole() != Role.RELAY) {
+                made.cut("only relays are taken here");
+                return;
+            }
+            sessions.add(this);
+            tell();
+        }
+
+        void tell() {
+            if (behind != null) return;
+            if (link.unsent() > config.unsent / 2) { // it does not read: the newest is told when it does
+                behind = net.at(net.now().plus(Span.ofMs(100)), () -> {
+                    behind = null;
+                    if (sessions.contains(this)) tell();
+                });
+                return;
+            }
+            link.send(Kind.NEWS, news(), NO_BODY);
+        }
+
+        @Override
+        public void frame(Kind kind, MessageLite head, byte[] body) {
+            if (kind != Kind.VOTE) {
+                link.cut("a controller takes no " + kind);
+                return;
+            }
+            Vote vote = (Vote) head;
+            Releases.Say say = switch (vote.getSay()) {
+                case NOTHING -> Releases.Say.NOTHING;
+                case ON -> Releases.Say.ON;
+                case HOLD -> Releases.Say.HOLD;
+                case BACK -> Releases.Say.BACK;
+                default -> null;
+            };
+            if (say == null || link.other().getNumber() < 0) {
+                answer(vote, Taken.FAILED_TO_TAKE);
+                return;
+            }
+            desk.submit(Input.newBuilder().setCast(Cast.newBuilder().setRelay(link.other().getNumber()).setBuild(vote.getBuild()).setStage(vote.getStage())
+                .setSay(say.name())), outcome -> answer(vote, outcome.refused() != null ? Taken.FAILED_TO_TAKE : switch ((Releases.Taken) outcome.answer()) {
+                    case COUNTS -> Taken.COUNTS;
+                    case MOOT -> Taken.MOOT;
+                    case TOO_MANY -> Taken.TOO_MANY;
+                }));
+        }
+
+        private void answer(Vote vote, Taken taken) {
+            link.send(Kind.VOTED, Voted.newBuilder().setId(vote.getId()).setTaken(taken).build(), NO_BODY);
+        }
+
+        @Override
+        public void closed(String why) {
+            sessions.remove(this);
+            if (behind != null) behind.cancel();
+        }
+    }
+}
--- a/src/main/java/sprucerock/rehearsal/Report.java
+++ b/src/main/java/sprucerock/rehearsal/Report.java
@@ -37,6 +37,8 @@
                 relay.badEnds() == 0 ? "ended in good order" : "did not end in good order, see its log");
         }
         figures(text, books);
+        if (day.tls) line(text, "  most TLS handshakes that one relay began in a second: %.0f, of %d allowed", play.monitor().mostHandshakesASecond(),
+            day.handshakesASecond);
         List<String> wrong = play.monitor().wrong();
         line(text, "  %d scrapes while they ran, %d more met a relay that was down: %s", play.monitor().scrapes(), play.monitor().unanswered(),
             wrong.isEmpty() ? "every sum holds in each" : "NOT ALL HOLD");
--- a/src/main/java/sprucerock/relay/DeskLink.java
+++ b/src/main/java/sprucerock/relay/DeskLink.java
@@ -39,6 +39,8 @@
     private final Map<Long, Timer> votes = new HashMap<>();
     private final Runnable learnt;
     private long lastVote;
+    private long epoch;
+    private long sequence;
     private boolean told;
     private boolean stopping;
 
@@ -121,6 +123,14 @@
                 + news.getCap() + ": no such standing, stage or cap; what was known holds");
             return;
         }
+        // guards against a controller that was replaced and does not know it, and against news that was long on its way
+        boolean old = news.getEpoch() < epoch || news.getEpoch() == epoch && news.getSequence() < sequence;
+        if (old) {
+            events.warn(Events.Kind.NEWS_REFUSED, "epoch " + news.getEpoch() + ", sequence " + news.getSequence() + " is older than " + epoch + ", " + sequence);
+            return;
+        }
+        epoch = news.getEpoch();
+        sequence = news.getSequence();
         Span lasted = Span.ofMs(Math.max(0, news.getLastedUs()) / 1000.0);
         ledger.news(news.getBuild(), news.getStage(), standing, news.getCap(), net.now().minus(lasted));
         told = true;
--- a/src/main/java/sprucerock/standin/MonitorStandIn.java
+++ b/src/main/java/sprucerock/standin/MonitorStandIn.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -31,6 +32,8 @@
     private final Map<Integer, Map<String, Double>> last = new HashMap<>();
     private final List<String> wrong = new ArrayList<>();
     private final Thread thread;
+    private final Map<Integer, ArrayDeque<double[]>> handshakes = new HashMap<>();
+    private double mostHandshakes;
     private long scrapes;
     private long unanswered;
 
@@ -89,6 +92,7 @@
         }
         Map<String, Double> now = values(text);
         for (String one : unbalanced(now)) wrong.add("port " + port + ", scrape " + scrapes + ": " + one);
+        rate(port, now.getOrDefault(PREFIX + "handshakes_begun_total", 0.0));
         Map<String, Double> before = last.put(port, now);
         if (before == null) return;
         before.forEach((series, value) -> {
@@ -97,6 +101,22 @@
         });
     }
 
+    /** The most handshakes that one relay began within a second, between two scrapes that were that far apart. */
+    public synchronized double mostHandshakesASecond() {
+        return mostHandshakes;
+    }
+
+    private void rate(int port, double begun) {
+        double now = System.nanoTime() / 1e9;
+        ArrayDeque<double[]> seen = handshakes.computeIfAbsent(port, key -> new ArrayDeque<>());
+        while (seen.size() > 1 && now - seen.peek()[0] > 2) seen.poll();
+        for (double[] one : seen) {
+            double seconds = now - one[0];
+            if (seconds >= 1 && begun >= one[1]) mostHandshakes = Math.max(mostHandshakes, (begun - one[1]) / seconds);
+        }
+        seen.add(new double[] {now, begun});
+    }
+
     private static Map<String, Double> values(String text) {
         Map<String, Double> found = new TreeMap<>();
         for (String line : text.split("\n")) {
--- a/src/main/java/sprucerock/tls/TlsLink.java
+++ b/src/main/java/sprucerock/tls/TlsLink.java
@@ -117,13 +117,19 @@
     @Override
     public void received(ByteBuffer bytes) {
         if (over) return;
-        if (aside || held != null) {
-            hold(bytes);
-            if (!aside) fromHeld();
-            return;
+        while (bytes.hasRemaining() && !over) {
+            if (aside) {
+                hold(bytes);
+            } else if (held == null) {
+                unwrap(bytes);
+                if (!over && bytes.hasRemaining()) hold(bytes);
+            } else { // as much as a record may lack
+                ByteBuffer some = bytes.slice(bytes.position(), Math.min(bytes.remaining(), Math.max(1, Buffers.RECORD - held.position())));
+                bytes.position(bytes.position() + some.remaining());
+                hold(some);
+                fromHeld();
+            }
         }
-        unwrap(bytes);
-        if (!over && bytes.hasRemaining()) hold(bytes);
     }
 
     private void hold(ByteBuffer bytes) {
@@ -135,8 +141,8 @@
                 return;
             }
             ByteBuffer larger = ByteBuffer.allocate(Math.max(wanted, Math.min(MOST_HELD, 2 * held.capacity())));
-            place.buffers.give(held);
             larger.put(held.flip());
+            place.buffers.give(held); // only now: who gets it may write at once
             held = larger;
         }
         held.put(bytes);
--- a/src/test/java/sprucerock/ArchitectureTest.java
+++ b/src/test/java/sprucerock/ArchitectureTest.java
@@ -36,6 +36,8 @@
             {"relay", "time stats model host ledger config net tls wire wire.v1"},
             {"trace", "time net net.nio wire wire.v1"},
             {"judge", "time trace wire wire.v1"},
+            {"controller", "time controller.v1"},
+            {"desk", "time net net.nio config controller controller.v1 wire wire.v1"},
             {"standin", "time stats net tls trace wire wire.v1"},
             {"rehearsal", "time net net.nio tls trace judge figures ledger standin wire wire.v1"},
         };
@@ -65,6 +67,8 @@
             noClasses().that().resideInAPackage("sprucerock." + room).should().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
         }
+        noClasses().that().haveFullyQualifiedName("sprucerock.controller.Releases").or().haveFullyQualifiedName("sprucerock.controller.Release").should()
+            .dependOnClassesThat().resideInAnyPackage("java.io", "java.net", "java.nio..", "java.util.concurrent..", "sprucerock.net..").check(ALL);
         noClasses().that().haveFullyQualifiedName("sprucerock.Policy").should().dependOnClassesThat()
             .resideInAnyPackage("java.io", "java.net", "java.nio..", "sprucerock.net..", "sprucerock.relay..", "sprucerock.sim..").check(ALL);
     }
--- /dev/null
+++ b/src/test/java/sprucerock/controller/EngineTest.java
@@ -0,0 +1,332 @@
+package sprucerock.controller;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.testng.annotations.Test;
+import sprucerock.controller.v1.Announced;
+import sprucerock.controller.v1.Cast;
+import sprucerock.controller.v1.Input;
+import sprucerock.controller.v1.Ready;
+import sprucerock.controller.v1.Word;
+
+/** The controller's memory through crashes at every write, full disks and damage of every kind. */
+public class EngineTest {
+    private static final class Crash extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    /** A disk that crashes at its n-th step; of what was not forced a part stays, drawn. */
+    private static final class SimDisk implements Disk {
+        private final TreeMap<String, byte[]> forced = new TreeMap<>();
+        private final TreeMap<String, ByteArrayOutputStream> now = new TreeMap<>();
+        private long steps;
+        private long most = Long.MAX_VALUE;
+        private boolean full;
+        private final SplittableRandom random = new SplittableRandom(5);
+
+        /** After a crash: what was forced, and a part of what was added since. */
+        void restart(long mostSteps) {
+            for (String name : List.copyOf(now.keySet())) {
+                byte[] was = forced.getOrDefault(name, new byte[0]);
+                byte[] is = now.get(name).toByteArray();
+                if (is.length > was.length) forced.put(name, Arrays.copyOf(is, was.length + random.nextInt(is.length - was.length + 1)));
+            }
+            now.clear();
+            forced.forEach((name, bytes) -> now.computeIfAbsent(name, key -> new ByteArrayOutputStream()).writeBytes(bytes));
+            steps = 0;
+            most = mostSteps;
+        }
+
+        private void step() {
+            if (steps++ >= most) throw new Crash();
+        }
+
+        @Override
+        public List<String> list() {
+            return new ArrayList<>(now.keySet());
+        }
+
+        @Override
+        public byte[] read(String name) {
+            return now.containsKey(name) ? now.get(name).toByteArray() : new byte[0];
+        }
+
+        @Override
+        public Log open(String name) {
+            step();
+            ByteArrayOutputStream file = now.computeIfAbsent(name, key -> new ByteArrayOutputStream());
+            forced.putIfAbsent(name, new byte[0]);
+            return new Log() {
+                @Override
+                public void add(byte[] bytes) throws IOException {
+                    if (full) {
+                        file.write(bytes, 0, bytes.length / 2);
+                        throw new IOException("No space left on device");
+                    }
+                    step();
+                    file.writeBytes(bytes);
+                }
+
+                @Override
+                public void force() {
+                    step();
+                    forced.put(name, file.toByteArray());
+                }
+
+                @Override
+                public void close() {}
+            };
+        }
+
+        @Override
+        public void put(String name, byte[] bytes) {
+            step();
+            ByteArrayOutputStream file = new ByteArrayOutputStream();
+            file.writeBytes(bytes);
+            now.put(name, file);
+            forced.put(name, bytes);
+        }
+
+        @Override
+        public void delete(String name) {
+            step();
+            now.remove(name);
+            forced.remove(name);
+        }
+
+        @Override
+        public void cut(String name, long length) {
+            step();
+            byte[] cut = Arrays.copyOf(read(name), (int) length);
+            now.get(name).reset();
+            now.get(name).writeBytes(cut);
+            forced.put(name, cut);
+        }
+    }
+
+    private long wall = 1_000_000;
+    private long steady;
+    private final Engine.Clock clock = new Engine.Clock() {
+        @Override
+        public long wallMs() {
+            return wall;
+        }
+
+        @Override
+        public long steadyMs() {
+            return steady;
+        }
+    };
+    private final List<String> told = new ArrayList<>();
+    private final List<String> said = new ArrayList<>();
+
+    private Engine engine(Disk disk, int snapshotEvery) {
+        return new Engine(disk, snapshotEvery, ReleasesProperties.RULES, 10, 1, clock,
+            (release, step) -> told.add(step.sequence() + ": " + release.build + " " + step.standing() + " " + step.stage()), said::add);
+    }
+
+    private void pass(long ms) {
+        steady += ms;
+        wall += ms;
+    }
+
+    private static Input.Builder announce(String delivery, int build) {
+        return Input.newBuilder().setAnnounced(Announced.newBuilder().setDelivery(delivery).setBuild(build).setArtifact("a" + build).setSource("ci"));
+    }
+
+    private static Input.Builder vote(int relay, int build, int stage, String say) {
+        return Input.newBuilder().setCast(Cast.newBuilder().setRelay(relay).setBuild(build).setStage(stage).setSay(say));
+    }
+
+    private static Input.Builder ready(int build, int units) {
+        return Input.newBuilder().setReady(Ready.newBuilder().setBuild(build).setUnits(units));
+    }
+
+    /** Some inputs as a day brings them, and what each was answered. */
+    private void live(Engine engine, SplittableRandom random, List<Integer> taken, int turns) {
+        for (int i = 0; i < turns; i++) {
+            pass(random.nextInt(400));
+            int build = engine.releases().present().build;
+            int stage = engine.releases().present().stage();
+            for (int j = random.nextInt(3); j >= 0; j--) {
+                int next = build + 1 + random.nextInt(2);
+                switch (random.nextInt(6)) {
+                    case 0 -> engine.submit(announce("d" + next, next), outcome -> {
+                        if (outcome.answer() == Releases.Answer.TAKEN) taken.add(next);
+                    });
+                    case 1 -> engine.submit(ready(build, 10), outcome -> { });
+                    case 2 -> engine.submit(Input.newBuilder().setWord(Word.newBuilder().setAction(random.nextBoolean() ? "HOLD" : "RESUME").setBuild(build)
+                        .setWho("ann").setReason("why")), outcome -> { });
+                    default -> engine.submit(vote(random.nextInt(4), build, stage, random.nextInt(9) == 0 ? "BACK" : "ON"), outcome -> { });
+                }
+            }
+            engine.commit();
+        }
+    }
+
+    @Test
+    public void aCrashAtAnyStepTakesBackNothingThatWasTold() throws Exception {
+        int crashes = 0;
+        for (int every : new int[] {7, 1000}) {
+            for (long most = 0;; most++) {
+                SimDisk disk = new SimDisk();
+                disk.most = most;
+                told.clear();
+                List<Integer> taken = new ArrayList<>();
+                Engine engine = engine(disk, every);
+                boolean crashed = false;
+                try {
+                    engine.start();
+                    live(engine, new SplittableRandom(most % 11), taken, 60);
+                } catch (Crash e) {
+                    crashed = true;
+                }
+                List<String> before = List.copyOf(told);
+                disk.restart(Long.MAX_VALUE);
+                told.clear();
+                pass(100);
+                Engine next = engine(disk, every);
+                next.start();
+                List<String> steps = new ArrayList<>();
+                next.releases().all().forEach(release -> release.steps().forEach(step -> steps.add(step.sequence() + ": " + release.build + " "
+                    + step.standing() + " " + step.stage())));
+                assertTrue(steps.containsAll(before), "told and forgotten, crash at " + most + ": " + before + " / " + steps);
+                for (int build : taken) assertTrue(next.releases().of(build) != null, "answered and forgotten: " + build);
+                assertTrue(next.releases().epoch() > engine.releases().epoch(), "what it tells now is not newer");
+                live(next, new SplittableRandom(1), taken, 5); // and it goes on
+                if (!crashed) break;
+                crashes++;
+            }
+        }
+        assertTrue(crashes > 300, crashes + " crashes");
+    }
+
+    @Test
+    public void theStateAfterARestartIsThatBefore() throws Exception {
+        for (int every : new int[] {5, 100_000}) {
+            SimDisk disk = new SimDisk();
+            Engine engine = engine(disk, every);
+            engine.start();
+            live(engine, new SplittableRandom(3), new ArrayList<>(), 300);
+            while (engine.releases().due(engine.now())) engine.commit(); // what a restart would do at once
+            var before = Codec.write(engine.releases(), 0).toBuilder().clearEpoch().build();
+            disk.restart(Long.MAX_VALUE);
+            Engine next = engine(disk, every);
+            next.start();
+            assertEquals(Codec.write(next.releases(), 0).toBuilder().clearEpoch().build(), before);
+            assertTrue(every > 5 || disk.list().size() <= 6, disk.list().toString());
+        }
+    }
+
+    @Test
+    public void theSameWebhookAfterARestartHasOneEffect() throws Exception {
+        SimDisk disk = new SimDisk();
+        List<Object> answers = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            Engine engine = engine(disk, 2);
+            engine.start();
+            engine.submit(announce("d", 2), outcome -> answers.add(outcome.answer()));
+            engine.submit(announce("d", 2), outcome -> answers.add(outcome.answer()));
+            engine.commit();
+            disk.restart(Long.MAX_VALUE);
+        }
+        assertEquals(answers.subList(0, 2), List.of(Releases.Answer.TAKEN, Releases.Answer.AGAIN));
+        assertEquals(answers.stream().filter(Releases.Answer.TAKEN::equals).count(), 1);
+    }
+
+    @Test
+    public void aFullDiskRefusesAndToldStaysTrueUntilThereIsRoom() throws Exception {
+        said.clear();
+        told.clear();
+        SimDisk disk = new SimDisk();
+        Engine engine = engine(disk, 1000);
+        engine.start();
+        engine.submit(announce("d", 2), outcome -> { });
+        engine.commit();
+        disk.full = true;
+        int before = told.size();
+        List<String> refused = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            engine.submit(announce("e", 3), outcome -> refused.add(outcome.refused()));
+            engine.commit();
+        }
+        assertEquals(told.size(), before);
+        assertEquals(said, List.of("the store: it takes no more: No space left on device"));
+        assertEquals(refused, java.util.Collections.nCopies(3, "it takes no more: No space left on device"));
+        disk.full = false;
+        engine.submit(announce("e", 3), outcome -> assertEquals(outcome.answer(), Releases.Answer.TAKEN));
+        engine.commit();
+        assertEquals(engine.failed(), null);
+        disk.restart(Long.MAX_VALUE);
+        Engine next = engine(disk, 1000);
+        next.start();
+        assertEquals(next.releases().present().build, 3);
+    }
+
+    @Test
+    public void aTornTailIsCutOffWithALineAndAHoleStopsTheStart() throws Exception {
+        Path folder = Files.createTempDirectory("store");
+        Engine engine = engine(new FileDisk(folder), 1000);
+        engine.start();
+        for (int i = 2; i < 12; i++) {
+            engine.submit(announce("d" + i, i), outcome -> { });
+            engine.commit();
+        }
+        engine.close();
+        Path log = folder.resolve("inputs-0000000000000000");
+        byte[] good = Files.readAllBytes(log);
+        said.clear();
+        Files.write(log, Arrays.copyOf(good, good.length - 3));
+        Engine cut = engine(new FileDisk(folder), 1000);
+        cut.start();
+        cut.close();
+        assertEquals(said.size(), 1);
+        assertTrue(said.get(0).contains("bytes of a record that was not finished are cut off; it was never told"), said.get(0));
+        assertEquals(cut.releases().present().build, 10);
+        byte[] hole = good.clone();
+        hole[good.length / 2] ^= 1;
+        Files.write(log, hole);
+        String message = expectThrows(Store.DamagedException.class, () -> engine(new FileDisk(folder), 1000).start()).getMessage();
+        assertTrue(message.startsWith("inputs-0000000000000000 is damaged at byte ") && message.endsWith("nothing was changed"), message);
+        assertEquals(Files.readAllBytes(log), hole);
+        byte[] gap = new byte[good.length - 60];
+        System.arraycopy(good, 0, gap, 0, 30);
+        System.arraycopy(good, 90, gap, 30, good.length - 90);
+        Files.write(log, gap);
+        expectThrows(Store.DamagedException.class, () -> engine(new FileDisk(folder), 1000).start());
+    }
+
+    @Test
+    public void timeGoesOnThroughRestartsWhateverTheWallDoes() throws Exception {
+        SimDisk disk = new SimDisk();
+        Engine engine = engine(disk, 1000);
+        engine.start();
+        pass(5000);
+        engine.submit(announce("d", 2), outcome -> { });
+        engine.commit();
+        double last = engine.now().ms();
+        wall -= 3_600_000; // set back
+        steady = 7; // another process
+        disk.restart(Long.MAX_VALUE);
+        Engine back = engine(disk, 1000);
+        back.start();
+        assertTrue(back.now().ms() >= last);
+        double then = back.now().ms();
+        wall += 100L * 24 * 3_600_000; // set forward by months
+        disk.restart(Long.MAX_VALUE);
+        Engine forward = engine(disk, 1000);
+        forward.start();
+        assertTrue(forward.now().ms() - then <= 24 * 3_600_000.0);
+    }
+}
--- /dev/null
+++ b/src/test/java/sprucerock/desk/DeskTest.java
@@ -0,0 +1,285 @@
+package sprucerock.desk;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import sprucerock.config.ConfigException;
+import sprucerock.controller.Engine;
+import sprucerock.net.nio.NioLoop;
+import sprucerock.time.Span;
+import sprucerock.wire.Kind;
+import sprucerock.wire.Person;
+import sprucerock.wire.Tap;
+import sprucerock.wire.v1.News;
+import sprucerock.wire.v1.Role;
+import sprucerock.wire.v1.Say;
+import sprucerock.wire.v1.Stand;
+import sprucerock.wire.v1.Taken;
+import sprucerock.wire.v1.Vote;
+import sprucerock.wire.v1.Voted;
+
+/** The controller between a pipeline, an operator and relays, over sockets on loopback; nothing hangs on how fast. */
+public class DeskTest {
+    private static final byte[] SECRET = "a secret for the test".getBytes(StandardCharsets.UTF_8);
+    private static final String TOKEN = "0123456789abcdef0123";
+
+    private Path folder;
+    private Desk desk;
+    private NioLoop loop;
+    private final HttpClient http = HttpClient.newHttpClient();
+
+    private Path secret(String name, String text) throws IOException {
+        Path file = folder.resolve(name);
+        Files.writeString(file, text);
+        Files.setPosixFilePermissions(file, PosixFilePermissions.fromString("rw-------"));
+        return file;
+    }
+
+    private Path config(String rate) throws IOException {
+        Path file = folder.resolve("controller.xml");
+        Files.writeString(file, """
+            <controller xmlns="urn:sprucerock:controller:1" name="desk" folder="%s" first-build="1" places="10">
+              <relays host="127.0.0.1" port="0" tell-every="10min"/>
+              <hooks host="127.0.0.1" port="0" body="4KiB" read-within="1s">
+                <source name="ci" form="standard" secrets="%s" a-second="%s"/>
+                <source name="hub" form="github" secrets="%s"/>
+              </hooks>
+              <api host="127.0.0.1" port="0" token="%s"/>
+              <stage share="0.1" cap="0.12"/>
+              <stage share="1" cap="1"/>
+              <votes control="single" life="60s" least="1ms" going-back="1ms"/>
+            </controller>
+            """.formatted(folder.resolve("store"), secret("ci", "whsec_" + Base64.getEncoder().encodeToString(SECRET)), rate,
+            secret("hub", new String(SECRET, StandardCharsets.UTF_8)), secret("token", TOKEN)));
+        return file;
+    }
+
+    @BeforeMethod
+    public void begin() throws Exception {
+        folder = Files.createTempDirectory("desk");
+        loop = new NioLoop("relays", Throwable::printStackTrace);
+        starts("1000");
+    }
+
+    private void starts(String rate) throws Exception {
+        desk = new Desk(DeskConfig.read(config(rate)), new Engine.Clock() {
+            @Override
+            public long wallMs() {
+                return System.currentTimeMillis();
+            }
+
+            @Override
+            public long steadyMs() {
+                return System.nanoTime() / 1_000_000;
+            }
+        }, Tap.NONE);
+    }
+
+    @AfterMethod
+    public void end() throws Exception {
+        desk.close();
+        loop.close();
+    }
+
+    private static String body(int build) {
+        return "{\"type\":\"build.announced\",\"build\":" + build + ",\"artifact\":\"a" + build + "\"}";
+    }
+
+    private HttpRequest hook(String id, String body) {
+        long now = System.currentTimeMillis() / 1000;
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + desk.hooksAt().getPort() + "/hooks/ci")).header("webhook-id", id)
+            .header("webhook-timestamp", "" + now).header("webhook-signature", Signatures.sign(Signatures.Form.STANDARD, id, now, body.getBytes(), SECRET))
+            .POST(HttpRequest.BodyPublishers.ofString(body)).build();
+    }
+
+    private String sends(HttpRequest request) throws Exception {
+        HttpResponse<String> answer = http.send(request, HttpResponse.BodyHandlers.ofString());
+        return answer.statusCode() + " " + answer.body().strip();
+    }
+
+    private void answers(HttpRequest request, String begins) throws Exception {
+        String answer = sends(request);
+        assertTrue(answer.startsWith(begins), answer);
+    }
+
+    private String api(String method, String path, String body) throws Exception {
+        return sends(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + desk.apiAt().getPort() + path)).header("Authorization", "Bearer " + TOKEN)
+            .method(method, HttpRequest.BodyPublishers.ofString(body)).build());
+    }
+
+    private static void until(String what, BooleanSupplier holds) throws InterruptedException {
+        for (int i = 0; i < 2000 && !holds.getAsBoolean(); i++) Thread.sleep(10);
+        assertTrue(holds.getAsBoolean(), what);
+    }
+
+    private Person relay(int number) {
+        CompletableFuture<Person> made = new CompletableFuture<>();
+        loop.post(() -> {
+            Person person = new Person(loop, Role.RELAY, number);
+            loop.connect(new InetSocketAddress("127.0.0.1", desk.relaysAt().getPort()), Span.ofMs(5000), 1 << 20, person.link);
+            made.complete(person);
+        });
+        return made.join();
+    }
+
+    private <T> T on(java.util.function.Supplier<T> what) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.post(() -> result.complete(what.get()));
+        return result.join();
+    }
+
+    private News last(Person relay) {
+        List<News> all = on(() -> new ArrayList<>(relay.<News>all(Kind.NEWS)));
+        return all.isEmpty() ? News.getDefaultInstance() : all.get(all.size() - 1);
+    }
+
+    private Taken votes(Person relay, int id, int build, int stage, Say say) throws Exception {
+        loop.post(() -> relay.send(Kind.VOTE, Vote.newBuilder().setId(id).setBuild(build).setStage(stage).setSay(say).build()));
+        until("vote " + id + " is answered", () -> on(() -> relay.<Voted>all(Kind.VOTED).stream().anyMatch(one -> one.getId() == id)));
+        return on(() -> relay.<Voted>all(Kind.VOTED).stream().filter(one -> one.getId() == id).findFirst().get().getTaken());
+    }
+
+    @Test
+    public void aSignedAnnouncementGoesThroughItsStagesToTheRelease() throws Exception {
+        Person relay = relay(0);
+        until("it is told at once", () -> last(relay).getStanding() == Stand.RELEASED);
+        assertEquals(sends(hook("m1", body(2))), "202 {\"answer\":\"taken\"}");
+        assertEquals(sends(hook("m1", body(2))), "200 {\"answer\":\"again\"}");
+        assertEquals(last(relay).getBuild(), 1);
+        assertEquals(api("PUT", "/fleet/2", "{\"units\":10}"), "200 {\"answer\":\"done\"}");
+        until("the trial is told", () -> last(relay).getStanding() == Stand.ON_TRIAL);
+        assertEquals(last(relay).getCap(), 0.12);
+        Thread.sleep(5); // its least time
+        assertEquals(votes(relay, 1, 2, 1, Say.ON), Taken.MOOT);
+        assertEquals(votes(relay, 2, 2, 0, Say.ON), Taken.COUNTS);
+        until("the next stage is told", () -> last(relay).getStage() == 1);
+        Thread.sleep(5);
+        assertEquals(votes(relay, 3, 2, 1, Say.ON), Taken.COUNTS);
+        until("the release is told", () -> last(relay).getStanding() == Stand.RELEASED && last(relay).getBuild() == 2);
+        String shown = api("GET", "/releases/2", "");
+        assertTrue(shown.contains("\"cause\":\"announced by ci\"") && shown.contains("\"cause\":\"votes to go on of relays [0]\""), shown);
+    }
+
+    @Test
+    public void afterARestartItIsWhereItWasAndItsNewsIsNewer() throws Exception {
+        Person relay = relay(0);
+        sends(hook("m1", body(2)));
+        api("PUT", "/fleet/2", "{\"units\":1}");
+        until("the trial is told", () -> last(relay).getStanding() == Stand.ON_TRIAL);
+        News before = last(relay);
+        desk.close();
+        starts("1000");
+        Person again = relay(0);
+        until("it is told", () -> last(again).getBuild() == 2);
+        News after = last(again);
+        assertEquals(after.getStanding(), Stand.ON_TRIAL);
+        assertTrue(after.getEpoch() > before.getEpoch() && after.getSequence() == before.getSequence(), before + " " + after);
+        assertEquals(sends(hook("m1", body(2))), "200 {\"answer\":\"again\"}");
+    }
+
+    @Test
+    public void copiesThatComeAtOnceHaveOneEffect() throws Exception {
+        List<CompletableFuture<HttpResponse<String>>> all = new ArrayList<>();
+        for (int i = 0; i < 30; i++) all.add(http.sendAsync(hook("m1", body(2)), HttpResponse.BodyHandlers.ofString()));
+        List<Integer> statuses = all.stream().map(one -> one.join().statusCode()).sorted().toList();
+        assertEquals(statuses.stream().filter(one -> one == 202).count(), 1, statuses.toString());
+        assertEquals(statuses.stream().filter(one -> one == 200).count(), 29, statuses.toString());
+    }
+
+    @Test
+    public void whatIsWrongHasItsAnswerAndNoEffect() throws Exception {
+        HttpRequest good = hook("m1", body(2));
+        HttpRequest changed = HttpRequest.newBuilder(good.uri()).headers("webhook-id", "m1", "webhook-timestamp", good.headers().firstValue("webhook-timestamp").get(),
+            "webhook-signature", good.headers().firstValue("webhook-signature").get()).POST(HttpRequest.BodyPublishers.ofString(body(3))).build();
+        assertTrue(sends(changed).startsWith("401 "), sends(changed));
+        answers(hook("m2", "not json"), "400 {\"answer\":\"no_announcement\",\"detail\":\"it is no JSON");
+        answers(hook("m3", "{\"type\":\"build.announced\",\"build\":0,\"artifact\":\"a\"}"), "400 ");
+        answers(hook("m4", "{\"type\":\"build.announced\",\"build\":2,\"build\":3,\"artifact\":\"a\"}"), "400 ");
+        answers(hook("m5", ""), "400 {");
+        answers(hook("m6", " ".repeat(5000)), "413 ");
+        assertTrue(sends(HttpRequest.newBuilder(URI.create(good.uri().toString().replace("/ci", "/nobody"))).POST(HttpRequest.BodyPublishers.noBody()).build())
+            .startsWith("404 "));
+        assertTrue(sends(HttpRequest.newBuilder(good.uri()).GET().build()).startsWith("405 "));
+        assertTrue(sends(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + desk.apiAt().getPort() + "/releases")).GET().build()).startsWith("401 "));
+        assertEquals(sends(hook("m7", body(5))).substring(0, 3), "202");
+        assertEquals(sends(hook("m8", body(4))), "409 {\"answer\":\"too_old\"}");
+        assertEquals(sends(hook("m7", body(6))), "409 {\"answer\":\"contradicts\"}");
+        assertTrue(!api("GET", "/releases", "").contains("\"build\":2"));
+    }
+
+    @Test
+    public void gitHubsFormIsTakenToo() throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + desk.hooksAt().getPort() + "/hooks/hub")).header("X-GitHub-Delivery", "g-1")
+            .header("X-Hub-Signature-256", Signatures.sign(Signatures.Form.GITHUB, "g-1", 0, body(2).getBytes(), SECRET))
+            .POST(HttpRequest.BodyPublishers.ofString(body(2))).build();
+        assertEquals(sends(request), "202 {\"answer\":\"taken\"}");
+        assertEquals(sends(request), "200 {\"answer\":\"again\"}");
+    }
+
+    @Test
+    public void whoComesTooOftenIsToldSo() throws Exception {
+        desk.close();
+        starts("3");
+        List<String> answers = new ArrayList<>();
+        for (int i = 0; i < 12; i++) answers.add(sends(hook("m1", body(2))).substring(0, 3));
+        assertTrue(answers.contains("429") && answers.get(0).equals("202"), answers.toString());
+    }
+
+    @Test
+    public void aSlowSenderIsCutOffAndHoldsUpNobody() throws Exception {
+        List<Socket> slow = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            Socket socket = new Socket("127.0.0.1", desk.hooksAt().getPort());
+            socket.getOutputStream().write("POST /hooks/ci HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{".getBytes());
+            slow.add(socket);
+        }
+        assertEquals(sends(hook("m1", body(2))).substring(0, 3), "202");
+        for (Socket socket : slow) {
+            socket.setSoTimeout(20_000);
+            while (socket.getInputStream().read() >= 0) continue; // until it is closed from there
+            socket.close();
+        }
+    }
+
+    @Test
+    public void anOperatorsWordNeedsANameAndAReason() throws Exception {
+        sends(hook("m1", body(2)));
+        assertTrue(api("POST", "/releases/2/hold", "{\"who\":\"ann\"}").startsWith("400 "));
+        assertEquals(api("POST", "/releases/2/hold", "{\"who\":\"ann\",\"reason\":\"a look\"}"), "200 {\"answer\":\"done\"}");
+        assertTrue(api("POST", "/releases/2/hold", "{\"who\":\"ann\",\"reason\":\"a look\"}").startsWith("409 "));
+        String shown = api("GET", "/releases/2", "");
+        assertTrue(shown.contains("held by ann: a look") && shown.contains("\"waits_for\":[\"an operator holds it\",\"units: 0 of 1 are there\"]"), shown);
+        assertEquals(api("POST", "/releases", "{\"build\":3,\"artifact\":\"x\",\"who\":\"bob\"}"), "202 {\"answer\":\"taken\"}");
+        assertEquals(api("POST", "/releases/3/withdraw", "{\"who\":\"bob\",\"reason\":\"no\"}"), "200 {\"answer\":\"done\"}");
+        assertTrue(api("GET", "/releases", "").contains("\"standing\":\"superseded\""));
+        assertTrue(api("GET", "/releases/9", "").startsWith("404 "));
+    }
+
+    @Test
+    public void secretsThatOthersCanReadAreRefused() throws Exception {
+        Path file = config("5");
+        Files.setPosixFilePermissions(folder.resolve("token"), PosixFilePermissions.fromString("rw-r--r--"));
+        String message = expectThrows(ConfigException.class, () -> DeskConfig.read(file)).getMessage();
+        assertTrue(message.endsWith("is open to others than its owner; chmod 600 it"), message);
+    }
+}
--- a/src/test/java/sprucerock/tls/HandshakeBenchmark.java
+++ b/src/test/java/sprucerock/tls/HandshakeBenchmark.java
@@ -30,36 +30,35 @@
     private TestCa ca;
     private Credentials unit;
     private Credentials relay;
-    private Material relayMaterial;
 
     @Setup
     public void begin() {
         ca = TestCa.root("root");
         unit = TlsLinkTest.credentials(ca.make(TestCa.leaf("unit").keyKind(kind)).material(ca.certificate()), List.of(version), Instant::now);
-        relayMaterial = ca.make(TestCa.leaf("relay").keyKind(kind)).material(ca.certificate());
-        relay = TlsLinkTest.credentials(relayMaterial);
+        relay = TlsLinkTest.credentials(ca.make(TestCa.leaf("relay").keyKind(kind)).material(ca.certificate()));
     }
 
-    private static void meet(Credentials relay, Credentials unit, boolean resumed) {
-        TlsLinkTest.Pair pair = new TlsLinkTest.Pair(relay, unit, "unit", false).meet();
+    private static void meet(Credentials relay, Credentials unit, int port, boolean resumed) {
+        TlsLinkTest.Pair pair = new TlsLinkTest.Pair(relay, unit, "unit", port, false).meet();
         if (pair.pipe.counts.full + pair.pipe.counts.resumed != 1) throw new AssertionError(pair.client.closed);
         if (resumed != (pair.pipe.counts.resumed == 1)) throw new AssertionError("full " + pair.pipe.counts.full + ", resumed " + pair.pipe.counts.resumed);
         pair.client.link.finish();
         pair.pipe.settle();
     }
 
-    /** Each under credentials of its own, which know no session. */
+    /** Each to a port of its own, for which there is no session. */
     @Benchmark
     public void full() {
-        meet(TlsLinkTest.credentials(relayMaterial), unit, false);
+        meet(relay, unit, ++port, false);
     }
 
     @Benchmark
     public void resumed() {
-        if (!warm) meet(relay, unit, false);
+        if (!warm) meet(relay, unit, 0, false);
         warm = true;
-        meet(relay, unit, true);
+        meet(relay, unit, 0, true);
     }
 
     private boolean warm;
+    private int port;
 }
--- a/src/test/java/sprucerock/tls/Pipe.java
+++ b/src/test/java/sprucerock/tls/Pipe.java
@@ -41,7 +41,9 @@
         }
 
         void flush() {
-            for (ByteBuffer one : claimed) if (one.capacity() > 0) out.add(one.array());
+            ByteArrayOutputStream all = new ByteArrayOutputStream(); // a system does not keep apart what was written apart
+            for (ByteBuffer one : claimed) all.writeBytes(one.array());
+            if (all.size() > 0) out.add(all.toByteArray());
             claimed.clear();
             handed = written;
         }
@@ -107,7 +109,7 @@
     /** Work aside is refused while this is set. */
     boolean asideFull;
     /** How many bytes of so many come next. */
-    IntUnaryOperator split = length -> length;
+    IntUnaryOperator split = length -> Math.min(length, 16 * 1024); // as a loop reads
     /** Place of a byte, counted over what the far side gets, that is changed on its way; -1 for none. */
     long flips = -1;
     long crossed;
--- a/src/test/java/sprucerock/tls/TlsLinkTest.java
+++ b/src/test/java/sprucerock/tls/TlsLinkTest.java
@@ -60,7 +60,11 @@
         final TlsLink far;
 
         Pair(Credentials relay, Credentials unit, String name, boolean proven) {
-            near = TlsLink.client(pipe.place(), relay, name, 7000, client);
+            this(relay, unit, name, 7000, proven);
+        }
+
+        Pair(Credentials relay, Credentials unit, String name, int port, boolean proven) {
+            near = TlsLink.client(pipe.place(), relay, name, port, client);
             far = TlsLink.server(new TlsLink.Place(pipe, new Buffers(), pipe.place().aside(), pipe.within, Counter.NONE), unit, proven, server);
         }
 
@@ -384,6 +388,30 @@
         assertEquals(pair.pipe.counts.full, 1);
     }
 
+    /** Run by the test below in a Java of its own, whose keys are worn out after few bytes. */
+    public static void main(String[] arguments) {
+        Pair pair = meet(relay(), unit(TestCa.leaf(NAME)));
+        for (int i = 0; i < 40; i++) {
+            say(pair.client.link, "abcdefgh".repeat(2000));
+            say(pair.server.link, "x".repeat(3000));
+            pair.pipe.settle();
+        }
+        System.out.println("arrived " + pair.server.text().equals("abcdefgh".repeat(80_000)) + " " + pair.client.heard.size() + " "
+            + pair.client.closed);
+    }
+
+    @Test
+    public void newKeysOnTheWayGoUnnoticed() throws Exception {
+        java.nio.file.Path limits = java.nio.file.Files.createTempFile("limits", ".properties");
+        java.nio.file.Files.writeString(limits, "jdk.tls.keyLimits=AES/GCM/NoPadding KeyUpdate 100000, ChaCha20-Poly1305 KeyUpdate 100000\n");
+        Process process = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Djava.security.properties=" + limits,
+            "-Djavax.net.debug=ssl:handshake", "-cp", System.getProperty("java.class.path"), TlsLinkTest.class.getName()).redirectErrorStream(true).start();
+        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        java.nio.file.Files.delete(limits);
+        assertTrue(said.contains("Produced KeyUpdate") || said.contains("KeyUpdate post-handshake"), "no key was changed");
+        assertTrue(said.contains("arrived true 120000 null"), said.substring(Math.max(0, said.length() - 500)));
+    }
+
     @Test
     public void aHandshakeTooSlowToBeWorthItIsNotBegunTwice() {
         Pipe pipe = new Pipe();
