Rehearsals with the real controller: from a signed webhook to the first answer

Cause: the controller was tested by itself; relays, module and units had not met it. The report follows each delivery to the first answer of the new build. Cheaper postings: places of accounts without list sizes, plain writes and one fence a turn.

--- a/src/main/antlr4/sprucerock/rehearsal/Day.g4
+++ b/src/main/antlr4/sprucerock/rehearsal/Day.g4
@@ -25,6 +25,7 @@
   | 'traffic' number '/s' ('busiest' times=number)?                                         # traffic
   | 'clients' INT 'retries' retries=INT 'after' SPAN ('impatient' PERCENT)?                 # clients
   | 'tls' everyone='everyone'? ('look' look=SPAN)? ('move' move=SPAN)? ('handshakes' INT '/s')? # tls
+  | 'controller' 'real'                                                                     # realController
   | 'at' SPAN trouble                                                                       # at
   ;
 
@@ -46,6 +47,7 @@
   | 'desk' ('late' late=SPAN | 'down') 'for' length=SPAN                                    # deskIll
   | 'counts' 'late' late=SPAN 'for' length=SPAN                                             # countsLate
   | 'zone' INT 'link' late=SPAN ('losing' PERCENT)? 'for' length=SPAN                       # zoneLink
+  | 'controller' how=('killed' | 'stalls') 'for' SPAN                                       # controllerIll
   | 'certificates' 'rotate'                                                                 # rotate
   | 'trust' 'rotates' 'within' SPAN                                                         # trustRotates
   | 'clients' 'rude' 'for' SPAN                                                             # rude
--- a/src/main/java/sprucerock/figures/BufferMemory.java
+++ b/src/main/java/sprucerock/figures/BufferMemory.java
@@ -31,13 +31,14 @@
 
     @Override
     public void put(int at, long value) {
-        // release, not plain: neither compiler nor processor may move it before what was put earlier
-        LONGS.setRelease(buffer, at, value);
+        longs.put(at / 8, value); // in any order among themselves: putLast comes after all of them
     }
 
     @Override
     public void putLast(int at, long value) {
+        VarHandle.releaseFence(); // nothing that was put before may come after it
         LONGS.setVolatile(buffer, at, value);
+        VarHandle.fullFence(); // nor what is put from now on before it: a reader may still be at the other copy
     }
 
     @Override
--- a/src/main/java/sprucerock/ledger/Accounts.java
+++ b/src/main/java/sprucerock/ledger/Accounts.java
@@ -73,6 +73,7 @@
     private long posted;
     private Book book = Book.NONE;
     private boolean mute;
+    private final int firstTook;
     private Runnable firstOfTurn = () -> {};
 
     public Accounts(List<String> methods, Room room) {
@@ -104,6 +105,7 @@
             size += sheets.get(i).size();
             rows += sheets.get(i).rows();
         }
+        firstTook = firstRow[took.place];
         values = new long[size];
         dirty = new int[size];
         isDirty = new boolean[size];
@@ -165,7 +167,7 @@
     /** Where a build's latencies of a method stand, both by their rows in their own sheets. Named at its first use. */
     public int tookRow(int build, int method) {
         int row = build * picks.rows() + method;
-        if (names[firstRow[took.place] + row] == null) label(took, row, name(builds, build) + "/" + name(picks, method));
+        if (names[firstTook + row] == null) label(took, row, name(builds, build) + "/" + name(picks, method));
         return row;
     }
 
--- a/src/main/java/sprucerock/ledger/Sheet.java
+++ b/src/main/java/sprucerock/ledger/Sheet.java
@@ -18,6 +18,7 @@
     private final List<String> columns;
     private final int rows;
     private final int pending;
+    private final int width;
     final int base;
     /** Its place among all sheets. */
     final int place;
@@ -30,6 +31,7 @@
         this.base = base;
         this.place = place;
         this.columns = columns;
+        width = columns.size();
         pending = settles ? columns.size() - 1 : -1;
     }
 
@@ -68,7 +70,7 @@
 
     /** Where an account stands among all. */
     public int index(int row, int column) {
-        return base + row * columns.size() + column;
+        return base + row * width + column;
     }
 
     int size() {
--- a/src/main/java/sprucerock/rehearsal/Play.java
+++ b/src/main/java/sprucerock/rehearsal/Play.java
@@ -86,6 +86,7 @@
     private final List<Integer> scraped = new ArrayList<>();
     private TraceWriter trace;
     private MonitorStandIn monitor;
+    private RealController controller;
     private Secure secure;
     private Workers workers;
     private RosterStandIn roster;
@@ -142,6 +143,10 @@
     public void run() throws IOException, InterruptedException {
         try {
             onLoop(this::set);
+            if (controller != null) {
+                controller.start();
+                controller.await();
+            }
             for (RelayProcess relay : relays) relay.start();
             awaitRelays();
             monitor = new MonitorStandIn(scraped, SCRAPE_MS);
@@ -157,12 +162,17 @@
             onLoop(() -> clients.forEach(some -> some.forEach(ClientStandIn::stop)));
             awaitAnswers();
             monitor.close();
+            if (controller != null) {
+                controllerSteps.addAll(controller.steps());
+                controllerEnded = controller.end();
+            }
             for (RelayProcess relay : relays) if (relay.alive()) relay.stop();
             for (RelayProcess relay : relays) if (relay.end(20) != 0) relay.endedBadly();
             Thread.sleep(100);
             onLoop(this::writeCounts);
         } finally {
             for (RelayProcess relay : relays) if (relay.alive()) relay.kill();
+            if (controller != null && controller.alive()) controller.kill();
             loop.close();
             if (workers != null) workers.close();
         }
@@ -200,7 +210,7 @@
         roster = new RosterStandIn(loop, new TraceWriter(trace, "roster"), limits, day.notice);
         int rosterPort = roster.start();
         desk = new DeskStandIn(loop, new TraceWriter(trace, "desk"), limits, site, this, FIRST_BUILD, chance.nextLong());
-        int deskPort = desk.start();
+        int deskPort = day.realController ? 0 : desk.start();
         between = new SwitchStandIn(loop, new TraceWriter(trace, "switch"), limits, chance.nextLong());
         if (day.tlsEveryone) between.secure(secure);
         faults.put(FIRST_BUILD, BuildFault.GOOD);
@@ -212,6 +222,11 @@
                 list(unit, Health.READY);
             }
         }
+        if (day.realController) {
+            deskPort = freePort();
+            controller = new RealController(folder.resolve("controller"), site, FIRST_BUILD, firstUnits.size(), new int[] {deskPort, freePort(), freePort()},
+                builds -> loop.post(() -> fleet(builds)));
+        }
         Map<Integer, Integer> ports = new TreeMap<>();
         Map<Integer, Integer> ways = new TreeMap<>();
         for (int i = 0; i < day.relays; i++) {
@@ -293,8 +308,9 @@
             boolean on = !trouble.at().over(time()) && trouble.at().plus(trouble.lasts().atLeast(Span.ofMs(1000))).over(time());
             if (on) now.append(now.length() == 0 ? "  " : "; ").append(trouble.words());
         }
-        out.printf("%3d s  service of late %5.3f  build %d %s stage %d%s%n", second, Books.ratio(lately), desk.build(),
-            desk.standing().name().toLowerCase(java.util.Locale.ROOT).replace('_', ' '), desk.stage(), now);
+        out.printf("%3d s  service of late %5.3f  build %d %s stage %d%s%n", second, Books.ratio(lately), controller == null ? desk.build() : controller.newest().build(),
+            (controller == null ? desk.standing().name().toLowerCase(java.util.Locale.ROOT) : controller.newest().standing()).replace('_', ' '),
+            controller == null ? desk.stage() : controller.newest().stage(), now);
     }
 
     /** Until every client has what it waits for, or the longest deadline is over. */
@@ -326,6 +342,51 @@
             unit.startedCold());
     }
 
+    // The real controller's fleet.
+
+    RealController controller() {
+        return controller;
+    }
+
+    /** What it told of each build's steps, at the day's end; and whether it ended in good order. */
+    final List<String> controllerSteps = new ArrayList<>();
+    boolean controllerEnded = true;
+
+    void controllerDown(boolean killed, boolean on) {
+        try {
+            if (!killed) controller.hold(on);
+            else if (on) controller.kill();
+            else controller.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    int buildOf(int unit) {
+        return units.get(unit).build;
+    }
+
+    /** Starts and drains units until there are as many of each build as the controller wants. */
+    private void fleet(List<RealController.Seen> builds) {
+        for (RealController.Seen one : builds) {
+            List<UnitStandIn> own = units.values().stream().filter(unit -> unit.build == one.build() && !leaving.contains(unit.id)).toList();
+            boolean gone = one.wanted() == 0 && !one.standing().equals("announced");
+            if (gone) {
+                shared.drag(1);
+                for (UnitStandIn unit : own) if (!unit.isDown()) drain(unit.id);
+            } else {
+                for (int i = own.size(); i < one.wanted(); i++) {
+                    Script.Units like = like(i);
+                    UnitStandIn unit = unit(one.build(), like.zone(), like.cores(), like.speed());
+                    loop.at(loop.now().plus(BOOT.times(0.5 + chance.nextDouble())), () -> {
+                        if (!leaving.contains(unit.id)) start(unit);
+                    });
+                }
+            }
+            controller.units(one.build(), (int) own.stream().filter(unit -> !unit.isDown()).count());
+        }
+    }
+
     // The release desk's machines.
 
     void offer(BuildFault fault, String words) {
@@ -333,7 +394,8 @@
         faults.put(build, fault);
         if (fault.what() == BuildFault.What.SLOWS_ALL) shared.drag(fault.amount());
         offered.add(new Offered(build, time(), words));
-        desk.offer(build);
+        if (controller == null) desk.offer(build);
+        else controller.announce(build);
     }
 
     @Override
--- a/src/main/java/sprucerock/rehearsal/Rehearsal.java
+++ b/src/main/java/sprucerock/rehearsal/Rehearsal.java
@@ -32,11 +32,11 @@
         List<FleetBook.Entry> fleet = FleetBook.hold(folder);
         balanced &= fleet.stream().allMatch(entry -> entry.unexplained() == 0);
         balanced &= play.monitor().scrapes() > 0 && play.monitor().wrong().isEmpty();
-        String report = Report.of(play, verdict, books, fleet);
+        String report = Report.of(play, verdict, books, fleet, play.controller() == null ? List.of() : Follow.deliveries(play, folder));
         Files.writeString(folder.resolve("report.txt"), report);
         out.print(report);
         out.println();
         out.println("traces, logs and this report: " + folder);
-        return verdict.kept() && balanced && play.relays().stream().allMatch(relay -> relay.badEnds() == 0);
+        return play.controllerEnded && verdict.kept() && balanced && play.relays().stream().allMatch(relay -> relay.badEnds() == 0);
     }
 }
--- a/src/main/java/sprucerock/rehearsal/Report.java
+++ b/src/main/java/sprucerock/rehearsal/Report.java
@@ -19,14 +19,15 @@
 
     private Report() {}
 
-    static String of(Play play, Judge.Verdict verdict, List<List<SecondBook.Entry>> books, List<FleetBook.Entry> fleet) {
+    static String of(Play play, Judge.Verdict verdict, List<List<SecondBook.Entry>> books, List<FleetBook.Entry> fleet, List<String> followed) {
         StringBuilder text = new StringBuilder();
         Script day = play.day();
         line(text, "");
         line(text, "%s: %.0f s, %d relays, seed %d", day.name, day.lasts.ms() / 1000, day.relays, day.seed);
         rules(text, verdict, play.fallen());
         builds(text, play);
-        votes(text, play);
+        if (play.controller() == null) votes(text, play);
+        else controller(text, play, followed);
         service(text, play);
         troubles(text, play);
         line(text, "");
@@ -96,6 +97,14 @@
         sums.forEach((what, times) -> line(text, "  %s%s", what, times == 1 ? "" : " (" + times + " times)"));
     }
 
+    private static void controller(StringBuilder text, Play play, List<String> followed) {
+        line(text, "");
+        line(text, "the controller: %d runs, %s; its steps", play.controller().runs(), play.controllerEnded ? "ended in good order" : "DID NOT END IN GOOD ORDER");
+        for (String step : play.controllerSteps) line(text, "  %s", step);
+        line(text, "announcements, each sent until taken and then once more");
+        for (String one : followed) line(text, "  %s", one);
+    }
+
     private static void service(StringBuilder text, Play play) {
         Site site = play.day().site();
         double[] all = play.books.between(Span.ZERO, play.day().lasts.plus(Span.ofMs(1000)));
--- a/src/main/java/sprucerock/rehearsal/Script.java
+++ b/src/main/java/sprucerock/rehearsal/Script.java
@@ -80,6 +80,8 @@
     public double busiest = 1;
     public int clientsEach = 2;
     public Manners manners = new Manners(2, Span.ofMs(100), 0, 0.3);
+    /** The controller is the real one, not a stand-in. */
+    public boolean realController;
     /** Units are reached by TLS; {@code tlsEveryone}: clients and other relays, too, and all are proven. */
     public boolean tls;
     public boolean tlsEveryone;
@@ -335,6 +337,12 @@
             return null;
         }
 
+        @Override
+        public Void visitRealController(DayParser.RealControllerContext c) {
+            realController = true;
+            return null;
+        }
+
         @Override
         public Void visitTls(DayParser.TlsContext c) {
             tls = true;
@@ -452,6 +460,13 @@
             if (!tls) throw wrong(c, "the day has no TLS; a line \"tls\" gives it some");
         }
 
+        @Override
+        public Void visitControllerIll(DayParser.ControllerIllContext c) {
+            if (!realController) throw wrong(c, "the day has no real controller; a line \"controller real\" gives it one");
+            boolean killed = c.how.getText().equals("killed");
+            return lasting(c.SPAN().getSymbol(), play -> play.controllerDown(killed, true), play -> play.controllerDown(killed, false));
+        }
+
         @Override
         public Void visitRotate(DayParser.RotateContext c) {
             needsTls(c);
@@ -575,6 +590,7 @@
 
         @Override
         public Void visitDeskIll(DayParser.DeskIllContext c) {
+            if (realController) throw wrong(c, "the real controller can be killed or stalled; \"desk\" is the stand-in's");
             if (c.late == null) return lasting(c.length, play -> play.desk().down(true), play -> play.desk().down(false));
             Span late = span(c.late);
             return lasting(c.length, play -> play.desk().late(late), play -> play.desk().late(Span.ZERO));
--- a/src/test/java/sprucerock/ArchitectureTest.java
+++ b/src/test/java/sprucerock/ArchitectureTest.java
@@ -39,7 +39,7 @@
             {"controller", "time controller.v1"},
             {"desk", "time net net.nio config controller controller.v1 wire wire.v1"},
             {"standin", "time stats net tls trace wire wire.v1"},
-            {"rehearsal", "time net net.nio tls trace judge figures ledger standin wire wire.v1"},
+            {"rehearsal", "time net net.nio tls trace judge figures ledger desk standin wire wire.v1"},
         };
     }
 
--- a/src/test/java/sprucerock/desk/DeskTest.java
+++ b/src/test/java/sprucerock/desk/DeskTest.java
@@ -275,6 +275,17 @@
         assertTrue(api("GET", "/releases/9", "").startsWith("404 "));
     }
 
+    @Test
+    public void theExampleIsInOrder() throws Exception {
+        Path file = folder.resolve("example.xml");
+        Files.writeString(file, Files.readString(Path.of("deploy", "controller.xml")).replace("ci.secret", folder.resolve("ci").toString())
+            .replace("api.token", folder.resolve("token").toString()));
+        DeskConfig config = DeskConfig.read(file);
+        assertEquals(config.rules.stages().size(), 3);
+        assertEquals(config.rules.least(), Span.ofMs(10_000));
+        assertEquals(config.sources.get("ci").form(), Signatures.Form.STANDARD);
+    }
+
     @Test
     public void secretsThatOthersCanReadAreRefused() throws Exception {
         Path file = config("5");
