Controller: standby over a lease with fencing, steps told by outgoing webhooks

Cause: one controller was a single point of failure, and nobody outside heard of transitions. Change: a lease in the store's folder, taken after its time by the other one's steady clock, looked at before anything is kept and before it happens; each start begins files of its own, so that a replaced one's writes are never read. Each step goes to each listener by a signed webhook, in order, at least once, with back-off and dead letters, apart from the controller's loop. A lease that was renewed only after the start was lost by a slow start in a test; it is renewed from the moment it is held.

--- a/src/main/java/sprucerock/cli/ControllerCommand.java
+++ b/src/main/java/sprucerock/cli/ControllerCommand.java
@@ -41,7 +41,7 @@
             public long steadyMs() {
                 return System.nanoTime() / 1_000_000;
             }
-        }, Tap.NONE);
+        }, Tap.NONE, () -> new Thread(() -> System.exit(Commands.FAILED), "replaced").start());
         CountDownLatch told = new CountDownLatch(1);
         Thread stopper = new Thread(() -> {
             told.countDown();
@@ -50,7 +50,7 @@
             } catch (java.io.IOException e) {
                 System.err.println("the store did not close: " + e.getMessage());
             }
-            Runtime.getRuntime().halt(Commands.DONE); // the signal's own code would say that it failed
+            Runtime.getRuntime().halt(desk.isReplaced() ? Commands.FAILED : Commands.DONE); // the signal's own code would say that it failed
         }, "stopper");
         Runtime.getRuntime().addShutdownHook(stopper);
         told.await();
--- a/src/main/java/sprucerock/controller/Engine.java
+++ b/src/main/java/sprucerock/controller/Engine.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import sprucerock.controller.v1.Input;
 import sprucerock.controller.v1.Restarted;
@@ -40,6 +41,7 @@
     private long lastWallMs;
     private long steadyAtStart;
     private long atStart;
+    private BooleanSupplier mayAct = () -> true;
     private String failed;
     private boolean lost;
 
@@ -64,6 +66,11 @@
      * @throws Store.DamagedException if the files are damaged other than at their end
      */
     public void start() throws IOException, Store.DamagedException {
+        start(() -> { });
+    }
+
+    /** The same; {@code back} is run once it is where it was, before anything new happens. */
+    public void start(Runnable back) throws IOException, Store.DamagedException {
         boolean[] before = new boolean[1];
         store.open(new Store.Reader() {
             @Override
@@ -82,6 +89,8 @@
                 before[0] = true;
             }
         }, say);
+        // files of its own from here on: what a controller that was replaced still writes into the old ones is never read
+        if (before[0]) store.snapshot(Codec.write(core, lastAtMs).toBuilder().setWallMs(lastWallMs).build());
         long wall = clock.wallMs();
         long down = before[0] ? wall - lastWallMs : 0;
         atStart = lastAtMs + Math.max(0, Math.min(down, 24 * 3_600_000L));
@@ -89,6 +98,7 @@
         Input.Builder restarted = Input.newBuilder().setRestarted(Restarted.newBuilder().setDownMs(down));
         store.add(stamped(restarted));
         store.force();
+        back.run();
         replaying = false; // what this leads to is news
         Codec.apply(core, restarted.build());
     }
@@ -123,8 +133,18 @@
         else waiting.add(new Waiting(input, done));
     }
 
+    /** Asked before anything is kept, and again before it happens. */
+    public void onlyWhile(BooleanSupplier holds) {
+        mayAct = holds;
+    }
+
     /** At a turn's end: what came is kept, then happens. */
     public void commit() {
+        if (!mayAct.getAsBoolean()) {
+            for (Waiting one : List.copyOf(waiting)) one.done.accept(new Outcome(null, "another controller may act by now"));
+            waiting.clear();
+            return;
+        }
         if (core.due(now()) && waiting.isEmpty()) submit(Input.newBuilder().setTick(Tick.getDefaultInstance()), outcome -> { });
         if (waiting.isEmpty()) return;
         List<Waiting> turn = List.copyOf(waiting);
@@ -139,6 +159,11 @@
             complain("it takes no more: " + e.getMessage());
         }
         if (kept > 0 && !force()) kept = 0;
+        if (!mayAct.getAsBoolean()) { // held up meanwhile: what was kept is in files that the other one does not read
+            complain("another controller may act by now");
+            kept = 0;
+            lost = true;
+        }
         if (kept == turn.size()) failed = null;
         for (int i = 0; i < turn.size(); i++) {
             Waiting one = turn.get(i);
--- a/src/main/java/sprucerock/desk/Desk.java
+++ b/src/main/java/sprucerock/desk/Desk.java
@@ -2,12 +2,20 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sprucerock.controller.Engine;
+import sprucerock.controller.Lease;
+import sprucerock.controller.Release;
+import sprucerock.controller.v1.Delivered;
 import sprucerock.controller.v1.Input;
 import sprucerock.net.nio.NioLoop;
 import sprucerock.time.Span;
@@ -22,21 +30,42 @@
     private final Engine engine;
     private final RelaysDoor relays;
     private final HttpDoor http;
+    private final Lease lease;
+    private final List<Outbox> outboxes = new ArrayList<>();
+    private final Map<String, Long> delivered = new ConcurrentHashMap<>();
+    private final Runnable replaced;
     private final InetSocketAddress relaysAt;
     private boolean marked;
     private volatile boolean stopped;
+    private volatile boolean lost;
 
     /**
      * Opens the files and all doors.
      *
      * @throws Exception if a file is damaged or an address can't be had; the message says which
      */
-    public Desk(DeskConfig config, Engine.Clock clock, Tap tap) throws Exception {
+    public Desk(DeskConfig config, Engine.Clock clock, Tap tap, Runnable replaced) throws Exception {
+        this.replaced = replaced;
+        String holder = config.name + "-" + ProcessHandle.current().pid() + "-" + Long.toHexString(System.nanoTime());
+        lease = Lease.in(config.folder, clock, config.lease, holder);
+        boolean told = false;
+        while (!lease.take()) {
+            if (!told) log.info("STANDBY {} waits for the lease of {}", holder, config.folder);
+            told = true;
+            Thread.sleep(50);
+        }
         loop = new NioLoop("controller", this::broken);
+        loop.post(this::renew); // from now on: to come back may take longer than the lease
         engine = Engine.in(config.folder, config.rules, config.places, config.firstBuild, clock, (release, step) -> {
             log.info("STEP {} build {} {} stage {}: {}", step.sequence(), release.build, step.standing(), step.stage(), step.cause());
+            outboxes.forEach(outbox -> outbox.add(release, step));
         }, what -> log.error("STORE {}", what)); // relays are told at the turn's end, after all its steps
-        engine.start();
+        for (Outbox.Target target : config.tells) {
+            outboxes.add(new Outbox(target, config.folder.resolveSibling(config.folder.getFileName() + "-" + target.name() + ".dead"),
+                upTo -> loop.post(() -> delivered(target.name(), upTo)), what -> log.error("OUTBOX {}", what)));
+        }
+        engine.onlyWhile(lease::holds);
+        engine.start(this::tellAgain);
         relays = new RelaysDoor(loop, config, tap, this);
         http = new HttpDoor(config, this);
         Exception[] wrong = new Exception[1];
@@ -58,12 +87,18 @@
         } catch (RuntimeException e) {
             throw new IOException(config.hooks + " or " + config.api + " can't be listened at: " + e.getMessage());
         }
+        outboxes.forEach(Outbox::start);
         loop.post(this::look);
         relaysAt = at[0];
         log.info("STARTED controller {}, epoch {}, {} inputs; relays at {}, webhooks at {}, operators at {}", config.name, engine.releases().epoch(),
             engine.inputs(), at[0], http.hooksAt(), http.apiAt());
     }
 
+    /** Another controller has taken its place. */
+    public boolean isReplaced() {
+        return lost;
+    }
+
     public InetSocketAddress relaysAt() {
         return relaysAt;
     }
@@ -108,6 +143,43 @@
         if (engine.releases().sequence() != before) relays.tellAll();
     }
 
+    /** Steps of earlier lives that not every listener has taken yet. */
+    private void tellAgain() {
+        List<Map.Entry<Release, Release.Step>> again = new ArrayList<>();
+        for (Release release : engine.releases().all()) {
+            for (Release.Step step : release.steps()) if (step.sequence() > engine.releases().delivered()) again.add(Map.entry(release, step));
+        }
+        again.sort(Comparator.comparingLong(one -> one.getValue().sequence()));
+        again.forEach(one -> outboxes.forEach(outbox -> outbox.add(one.getKey(), one.getValue())));
+    }
+
+    /** Steps are done with once every listener has them, or they were given up. */
+    private void delivered(String target, long upTo) {
+        delivered.put(target, upTo);
+        if (delivered.size() < outboxes.size()) return;
+        long all = delivered.values().stream().mapToLong(Long::longValue).min().orElse(0);
+        if (all > engine.releases().delivered()) submit(Input.newBuilder().setDelivered(Delivered.newBuilder().setSequence(all)), outcome -> { });
+    }
+
+    private void renew() {
+        if (stopped) return;
+        boolean holds;
+        try {
+            holds = lease.renew();
+        } catch (IOException e) {
+            log.error("LEASE can't be renewed: {}", e.getMessage());
+            holds = lease.holds(); // as long as its time is not over
+        }
+        if (!holds) {
+            log.error("LEASE lost: another controller acts, this one ends");
+            stopped = true;
+            lost = true;
+            replaced.run();
+            return;
+        }
+        loop.at(loop.now().plus(Lease.RENEW), this::renew);
+    }
+
     private void look() {
         if (stopped) return;
         if (engine.releases().due(engine.now())) commit();
@@ -129,8 +201,10 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        outboxes.forEach(Outbox::close);
         loop.close();
         engine.close();
+        lease.release();
         log.info("FINISHED");
     }
 }
--- a/src/main/java/sprucerock/desk/DeskConfig.java
+++ b/src/main/java/sprucerock/desk/DeskConfig.java
@@ -2,9 +2,12 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermission;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -38,6 +41,9 @@
     public final Map<String, Source> sources;
     public final InetSocketAddress api;
     public final String token;
+    public final List<Outbox.Target> tells;
+    /** How long an active controller may be silent before another one takes its place. */
+    public final Span lease;
     public final Rules rules;
 
     /** Reads and checks a file; the first thing that is wrong ends it. */
@@ -79,6 +85,25 @@
         api = address(apiNode);
         token = secret(apiNode, "token").strip();
         if (token.length() < 16) throw apiNode.wrong("token: " + apiNode.text("token") + " holds fewer than 16 characters");
+        List<Outbox.Target> targets = new ArrayList<>();
+        for (Node node : root.all("tell")) {
+            URI url;
+            try {
+                url = URI.create(node.text("url"));
+            } catch (IllegalArgumentException e) {
+                throw node.wrong("url is none: " + e.getMessage());
+            }
+            if (!"http".equals(url.getScheme()) && !"https".equals(url.getScheme())) throw node.wrong("url begins with http:// or https://");
+            try {
+                targets.add(new Outbox.Target(node.text("name"), url, Signatures.secrets(secret(node, "secret"), Signatures.Form.STANDARD).get(0),
+                    Duration.ofMillis((long) node.span("give-up").ms())));
+            } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+                throw node.wrong("secret: " + node.text("secret") + " holds no base64");
+            }
+        }
+        tells = List.copyOf(targets);
+        lease = root.span("lease");
+        if (Span.ofMs(500).over(lease)) throw root.wrong("lease is 500ms at least");
         List<Rules.Stage> stages = root.all("stage").stream().map(stage -> new Rules.Stage(stage.number("share"), stage.number("cap"))).toList();
         Node votes = root.child("votes");
         rules = new Rules(stages, Rules.Control.valueOf(votes.text("control").toUpperCase(Locale.ROOT)), votes.count("on"), votes.count("hold"),
--- a/src/main/java/sprucerock/rehearsal/RealController.java
+++ b/src/main/java/sprucerock/rehearsal/RealController.java
@@ -85,7 +85,7 @@
         for (Site.Stage stage : site.stages()) stages.append("  <stage share=\"").append(stage.share()).append("\" cap=\"").append(stage.cap()).append("\"/>\n");
         Site.Desk desk = site.desk();
         Files.writeString(folder.resolve("controller.xml"), String.format(Locale.ROOT, """
-            <controller xmlns="urn:sprucerock:controller:1" name="rehearsal" folder="%s" first-build="%d" places="%d">
+            <controller xmlns="urn:sprucerock:controller:1" name="rehearsal" folder="%s" first-build="%d" places="%d" lease="2500ms">
               <relays host="127.0.0.1" port="%d"/>
               <hooks host="127.0.0.1" port="%d"><source name="ci" form="standard" secrets="%s" a-second="100"/></hooks>
               <api host="127.0.0.1" port="%d" token="%s"/>
--- a/src/test/java/sprucerock/controller/EngineTest.java
+++ b/src/test/java/sprucerock/controller/EngineTest.java
@@ -287,8 +287,7 @@
         Path log = folder.resolve("inputs-0000000000000000");
         byte[] good = Files.readAllBytes(log);
         said.clear();
-        Files.write(log, Arrays.copyOf(good, good.length - 3));
-        Engine cut = engine(new FileDisk(folder), 1000);
+        Engine cut = engine(new FileDisk(only(Arrays.copyOf(good, good.length - 3))), 1000);
         cut.start();
         cut.close();
         assertEquals(said.size(), 1);
@@ -296,15 +295,46 @@
         assertEquals(cut.releases().present().build, 10);
         byte[] hole = good.clone();
         hole[good.length / 2] ^= 1;
-        Files.write(log, hole);
-        String message = expectThrows(Store.DamagedException.class, () -> engine(new FileDisk(folder), 1000).start()).getMessage();
+        Path holed = only(hole);
+        String message = expectThrows(Store.DamagedException.class, () -> engine(new FileDisk(holed), 1000).start()).getMessage();
         assertTrue(message.startsWith("inputs-0000000000000000 is damaged at byte ") && message.endsWith("nothing was changed"), message);
-        assertEquals(Files.readAllBytes(log), hole);
+        assertEquals(Files.readAllBytes(holed.resolve("inputs-0000000000000000")), hole);
         byte[] gap = new byte[good.length - 60];
         System.arraycopy(good, 0, gap, 0, 30);
         System.arraycopy(good, 90, gap, 30, good.length - 90);
-        Files.write(log, gap);
-        expectThrows(Store.DamagedException.class, () -> engine(new FileDisk(folder), 1000).start());
+        Path gapped = only(gap);
+        expectThrows(Store.DamagedException.class, () -> engine(new FileDisk(gapped), 1000).start());
+    }
+
+    /** A folder with one log in it. */
+    private static Path only(byte[] log) throws Exception {
+        Path folder = Files.createTempDirectory("store");
+        Files.write(folder.resolve("inputs-0000000000000000"), log);
+        return folder;
+    }
+
+    @Test
+    public void whatAReplacedControllerStillWritesIsNeverRead() throws Exception {
+        Path folder = Files.createTempDirectory("store");
+        Engine old = engine(new FileDisk(folder), 1000);
+        old.start();
+        old.submit(announce("a", 2), outcome -> { });
+        old.commit();
+        Engine next = engine(new FileDisk(folder), 1000);
+        next.start();
+        old.submit(announce("b", 9), outcome -> { }); // it was held up, and does not know
+        old.commit();
+        next.submit(announce("c", 3), outcome -> { });
+        next.commit();
+        Engine third = engine(new FileDisk(folder), 1000);
+        third.start();
+        assertEquals(third.releases().present().build, 3);
+        assertEquals(third.releases().of(9), null);
+        old.onlyWhile(() -> false); // once it has looked at its lease
+        List<String> refused = new ArrayList<>();
+        old.submit(announce("d", 10), outcome -> refused.add(outcome.refused()));
+        old.commit();
+        assertEquals(refused, List.of("another controller may act by now"));
     }
 
     @Test
--- a/src/test/java/sprucerock/desk/DeskTest.java
+++ b/src/test/java/sprucerock/desk/DeskTest.java
@@ -45,6 +45,8 @@
 
     private Path folder;
     private Desk desk;
+    private String tells = "";
+    private final String lease = "30s"; // no machine is that slow
     private NioLoop loop;
     private final HttpClient http = HttpClient.newHttpClient();
 
@@ -58,19 +60,20 @@
     private Path config(String rate) throws IOException {
         Path file = folder.resolve("controller.xml");
         Files.writeString(file, """
-            <controller xmlns="urn:sprucerock:controller:1" name="desk" folder="%s" first-build="1" places="10">
+            <controller xmlns="urn:sprucerock:controller:1" name="desk" lease="%s" folder="%s" first-build="1" places="10">
               <relays host="127.0.0.1" port="0" tell-every="10min"/>
               <hooks host="127.0.0.1" port="0" body="4KiB" read-within="1s">
                 <source name="ci" form="standard" secrets="%s" a-second="%s"/>
                 <source name="hub" form="github" secrets="%s"/>
               </hooks>
               <api host="127.0.0.1" port="0" token="%s"/>
+              %s
               <stage share="0.1" cap="0.12"/>
               <stage share="1" cap="1"/>
               <votes control="single" life="60s" least="1ms" going-back="1ms"/>
             </controller>
-            """.formatted(folder.resolve("store"), secret("ci", "whsec_" + Base64.getEncoder().encodeToString(SECRET)), rate,
-            secret("hub", new String(SECRET, StandardCharsets.UTF_8)), secret("token", TOKEN)));
+            """.formatted(lease, folder.resolve("store"), secret("ci", "whsec_" + Base64.getEncoder().encodeToString(SECRET)), rate,
+            secret("hub", new String(SECRET, StandardCharsets.UTF_8)), secret("token", TOKEN), tells.formatted(folder.resolve("ci"))));
         return file;
     }
 
@@ -92,7 +95,7 @@
             public long steadyMs() {
                 return System.nanoTime() / 1_000_000;
             }
-        }, Tap.NONE);
+        }, Tap.NONE, () -> { });
     }
 
     @AfterMethod
@@ -275,6 +278,68 @@
         assertTrue(api("GET", "/releases/9", "").startsWith("404 "));
     }
 
+    /** A second one waits, takes over once the first is gone, and goes on where that was. */
+    @Test
+    public void aStandbyTakesOver() throws Exception {
+        sends(hook("m1", body(2)));
+        Desk first = desk;
+        CompletableFuture<Desk> second = CompletableFuture.supplyAsync(() -> {
+            try {
+                starts("1000");
+                return desk;
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        Thread.sleep(1500); // thrice the time that a free lease takes to get
+        assertTrue(!second.isDone(), "two at a time");
+        first.close();
+        desk = second.join();
+        assertEquals(sends(hook("m1", body(2))), "200 {\"answer\":\"again\"}");
+        assertTrue(api("GET", "/releases", "").contains("\"epoch\":2"));
+    }
+
+    /** A listener that fails at first has each step once, in order, and those of before a restart. */
+    @Test
+    public void stepsAreToldInOrderUntilTheyAreTaken() throws Exception {
+        List<String> heard = java.util.Collections.synchronizedList(new ArrayList<>());
+        java.util.concurrent.atomic.AtomicInteger asked = new java.util.concurrent.atomic.AtomicInteger();
+        com.sun.net.httpserver.HttpServer listener = com.sun.net.httpserver.HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 10);
+        listener.createContext("/", exchange -> {
+            byte[] got = exchange.getRequestBody().readAllBytes();
+            boolean fails = asked.incrementAndGet() % 2 == 1;
+            var headers = new Signatures.Headers(exchange.getRequestHeaders().getFirst("webhook-id"), exchange.getRequestHeaders().getFirst("webhook-timestamp"),
+                exchange.getRequestHeaders().getFirst("webhook-signature"));
+            boolean signed = Signatures.check(Signatures.Form.STANDARD, headers, got, List.of(SECRET), System.currentTimeMillis() / 1000, Span.ofMs(60_000)).id() != null;
+            if (!fails) heard.add((signed ? "" : "NOT SIGNED ") + new String(got, StandardCharsets.UTF_8).replaceAll(".*sequence\":([0-9]+).*standing\":\"([a-z]+)\".*", "$1 $2"));
+            exchange.sendResponseHeaders(fails ? 500 : 204, -1);
+            exchange.close();
+        });
+        listener.start();
+        try {
+            tells = "<tell name=\"chat\" url=\"http://127.0.0.1:" + listener.getAddress().getPort() + "/\" secret=\"%s\"/>";
+            desk.close();
+            starts("1000");
+            sends(hook("m1", body(2)));
+            until("both steps are told", () -> heard.size() >= 2);
+            until("and noted", () -> {
+                try {
+                    return api("GET", "/releases", "").matches("(?s).*\"inputs\":[5-9].*");
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            desk.close();
+            starts("1000");
+            sends(hook("m2", body(3)));
+            until("the next ones, too", () -> heard.size() >= 5);
+            assertEquals(heard, List.of("1 announced", "2 starting", "3 announced", "4 superseded", "5 starting"));
+        } finally {
+            listener.stop(0);
+            tells = "";
+        }
+    }
+
     @Test
     public void theExampleIsInOrder() throws Exception {
         Path file = folder.resolve("example.xml");
