--- a/src/main/java/sprucerock/tls/Credentials.java
+++ b/src/main/java/sprucerock/tls/Credentials.java
@@ -98,7 +98,8 @@
             KeyStore store = KeyStore.getInstance("PKCS12");
             store.load(null, null);
             store.setKeyEntry("own", material.key, secret, material.chain.toArray(new X509Certificate[0]));
-            KeyManagerFactory factory = KeyManagerFactory.getInstance("PKIX");
+            // not PKIX's: that one opens the store, and so derives its key from the secret, in each handshake
+            KeyManagerFactory factory = KeyManagerFactory.getInstance("SunX509");
             factory.init(store, secret);
             return factory.getKeyManagers();
         } catch (java.io.IOException e) {
