--- a/src/main/java/sprucerock/Main.java
+++ b/src/main/java/sprucerock/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import sprucerock.cli.Commands;
+import sprucerock.cli.ServeCommand;
 import sprucerock.sim.FrameException;
 import sprucerock.sim.Simhost;
 
@@ -9,8 +10,9 @@
 public final class Main {
     private Main() {}
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) throws IOException, InterruptedException {
         if (args.length == 1 && args[0].equals("simhost")) simhost(); // apart, as the bench pays for each start
+        else if (args.length == 1 && args[0].equals("serve")) Runtime.getRuntime().halt(ServeCommand.serve()); // each restart counts too
         else System.exit(Commands.run(args));
     }
 
--- a/src/main/java/sprucerock/net/Net.java
+++ b/src/main/java/sprucerock/net/Net.java
@@ -28,6 +28,13 @@
      */
     Link connect(InetSocketAddress to, Span within, long mostUnsent, LinkUser user);
 
+    /**
+     * A socket for datagrams at an address. What comes and finds too many waiting for the loop is dropped.
+     *
+     * @throws IOException if the address can't be had
+     */
+    Datagrams datagrams(InetSocketAddress at, Datagrams.User user) throws IOException;
+
     /** A listening address. */
     interface Listener {
         InetSocketAddress address();
--- a/src/main/java/sprucerock/net/nio/NioLink.java
+++ b/src/main/java/sprucerock/net/nio/NioLink.java
@@ -35,6 +35,7 @@
     private boolean up;
     private boolean writing;
     private boolean marked;
+    private boolean reading;
     private boolean finishing;
     private boolean closed;
     private Runnable onceClosed = () -> {};
@@ -79,16 +80,21 @@
             return;
         }
         up = true;
-        in = ByteBuffer.allocateDirect(READ);
+        in = loop.chunk(READ);
         user.up(this);
         if (!closed) read();
+        else keepNoRoom();
         mark();
     }
 
     private final CompletionHandler<Integer, Void> reads = new CompletionHandler<>() {
         @Override
         public void completed(Integer count, Void none) {
-            if (closed) return;
+            reading = false;
+            if (closed) {
+                keepNoRoom();
+                return;
+            }
             if (count < 0) {
                 cut("closed by the other side");
                 return;
@@ -97,15 +103,26 @@
             user.received(in);
             in.clear();
             if (!closed) read();
+            else keepNoRoom();
         }
 
         @Override
         public void failed(Throwable why, Void none) {
+            reading = false;
             cut("broken: " + why.getMessage());
+            keepNoRoom();
         }
     };
 
+    /** The room for reads goes back once no read is out: thousands of short connections must not each wait for a collection. */
+    private void keepNoRoom() {
+        if (in == null || reading || !closed) return;
+        loop.giveBack(in);
+        in = null;
+    }
+
     private void read() {
+        reading = true;
         channel.read(in, null, reads);
     }
 
@@ -239,6 +256,7 @@
         String told = why;
         loop.post(() -> { // in a later turn, so that no caller is told while it acts
             onceClosed.run();
+            keepNoRoom();
             user.closed(told);
         });
     }
--- a/src/main/java/sprucerock/net/nio/NioLoop.java
+++ b/src/main/java/sprucerock/net/nio/NioLoop.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import sprucerock.net.Datagrams;
 import sprucerock.net.Link;
 import sprucerock.net.LinkUser;
 import sprucerock.net.Net;
@@ -198,6 +199,15 @@
         return new Door(server, most, mostUnsent, users);
     }
 
+    @Override
+    public Datagrams datagrams(InetSocketAddress at, Datagrams.User user) throws IOException {
+        return new NioDatagrams(this, at, user);
+    }
+
+    void broken(Throwable why) {
+        broken.accept(why);
+    }
+
     private final class Door implements Listener, CompletionHandler<AsynchronousSocketChannel, Void> {
         private final AsynchronousServerSocketChannel server;
         private final int most;
--- /dev/null
+++ b/src/main/java/sprucerock/platform/ClientDoor.java
@@ -0,0 +1,134 @@
+package sprucerock.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import sprucerock.model.Method;
+import sprucerock.net.Net;
+import sprucerock.serving.Events;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/** Where clients come in. Their number is bounded: when full, one that never spoke or stands idle gives way, else a new one does. */
+final class ClientDoor {
+    /** What the door needs of the relay. */
+    interface Owner {
+        void arrived(ClientAsked asked);
+
+        void left(ClientAsked asked);
+    }
+
+    private static final Span PATIENCE = Span.ofMs(2000); // a client that means it needs some milliseconds
+    private static final Span LOOK = Span.ofMs(250);
+    private static final Span IDLE = Span.ofMs(2000); // clients bear a close between commands; one just used may be used again
+    private static final int SPARE = 8; // being closed, while new ones come
+    private static final long UNSENT = 512 * 1024;
+
+    private final Net net;
+    private final Events events;
+    private final Owner owner;
+    private final Map<String, Method> methods;
+    private final int most;
+    private final Set<ClientLink> links = new LinkedHashSet<>();
+    private final Map<String, ClientAsked> open = new HashMap<>();
+    private Net.Listener listener;
+    private boolean finishing;
+
+    ClientDoor(Net net, Events events, Owner owner, Map<String, Method> methods, int most) {
+        this.net = net;
+        this.events = events;
+        this.owner = owner;
+        this.methods = methods;
+        this.most = most;
+    }
+
+    void start(InetSocketAddress at) throws IOException {
+        listener = net.bind(at, most + SPARE, UNSENT, () -> {
+            ClientLink link = new ClientLink(this, net.now());
+            links.add(link);
+            if (links.size() > most) later(() -> makeRoom(link));
+            return link;
+        });
+        look();
+    }
+
+    void take() {
+        listener.take();
+    }
+
+    int size() {
+        return links.size();
+    }
+
+    private void makeRoom(ClientLink newest) {
+        ClientLink goes = null;
+        for (ClientLink link : links) { // the oldest first
+            if (link != newest && link.never()) {
+                goes = link;
+                break;
+            }
+            if (goes == null && link.quietFor(IDLE)) goes = link;
+        }
+        (goes == null ? newest : goes).close("too many connections");
+    }
+
+    private void look() {
+        for (ClientLink link : new ArrayList<>(links)) link.look(PATIENCE);
+        net.at(net.now().plus(LOOK), this::look);
+    }
+
+    Moment now() {
+        return net.now();
+    }
+
+    void later(Runnable what) {
+        net.atTurnsEnd(what);
+    }
+
+    Statement read(byte[] text) throws Statement.UnreadableException {
+        return Statement.read(text, methods);
+    }
+
+    /** Null where it may be asked; else why not. */
+    String take(ClientAsked asked) {
+        if (open.putIfAbsent(asked.statement.id, asked) == null) return null;
+        return "a request of the same id is open";
+    }
+
+    void over(ClientAsked asked) {
+        open.remove(asked.statement.id, asked);
+    }
+
+    void arrived(ClientAsked asked) {
+        owner.arrived(asked);
+    }
+
+    void left(ClientAsked asked) {
+        owner.left(asked);
+    }
+
+    void refused(String why) {
+        events.warn(Events.Kind.CLIENT_REFUSED, why);
+    }
+
+    void gone(ClientLink link) {
+        links.remove(link);
+    }
+
+    boolean finishing() {
+        return finishing;
+    }
+
+    /** Connections close once nothing is asked on them; new ones are taken for {@code still}. */
+    void finish(Span still) {
+        finishing = true;
+        List<ClientLink> all = new ArrayList<>(links);
+        for (ClientLink link : all) if (link.quietFor(Span.ZERO)) link.close("the relay is finishing");
+        net.at(net.now().plus(still), listener::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/platform/ClientLink.java
@@ -0,0 +1,210 @@
+package sprucerock.platform;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import sprucerock.net.Link;
+import sprucerock.net.LinkUser;
+import sprucerock.pg.Messages;
+import sprucerock.pg.ProtocolException;
+import sprucerock.pg.Reader;
+import sprucerock.pg.Writer;
+import sprucerock.serving.Ending;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/** A client's connection: one command at a time, answered in order; a bounded number wait behind it. */
+final class ClientLink implements LinkUser, Messages.User {
+    private static final int MESSAGE = 160 * 1024; // a value of 64 KiB in hexadecimal, and its statement
+    private static final int WAITING = 32; // commands; clients that send one behind another stay far below it
+    private static final int WAITING_BYTES = 256 * 1024;
+    private static final byte[] WELCOME = Writer.welcome();
+    private static final byte[] NO_ENCRYPTION = {'N'};
+
+    private record Command(char type, byte[] body) {}
+
+    private final ClientDoor door;
+    private final Messages in = Messages.ofClient(MESSAGE);
+    private final ArrayDeque<Command> waiting = new ArrayDeque<>();
+    private final Moment cameAt;
+    private int waitingBytes;
+    private Link link;
+    private boolean started;
+    private boolean asked;
+    private boolean ending;
+    private boolean closed;
+    private ClientAsked open;
+    private Moment partialSince;
+    private Moment quietSince;
+
+    ClientLink(ClientDoor door, Moment now) {
+        this.door = door;
+        cameAt = now;
+        quietSince = now;
+    }
+
+    @Override
+    public void up(Link made) {
+        link = made;
+    }
+
+    @Override
+    public boolean open() {
+        return !ending && !closed;
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+        if (!open()) return;
+        try {
+            in.take(bytes, this);
+            if (!in.partial()) partialSince = null;
+            else if (partialSince == null) partialSince = door.now();
+            pump();
+        } catch (ProtocolException e) {
+            end("08P01", e.getMessage());
+        }
+    }
+
+    @Override
+    public void message(char type, byte[] body) throws ProtocolException {
+        if (type == 0) {
+            startup(body);
+            return;
+        }
+        waitingBytes += body.length;
+        if (waiting.size() >= WAITING || waitingBytes > WAITING_BYTES) throw new ProtocolException("more than " + WAITING + " commands or " + WAITING_BYTES + " bytes wait on one connection");
+        waiting.add(new Command(type, body));
+    }
+
+    private void startup(byte[] body) throws ProtocolException {
+        switch (Reader.startup(body)) {
+            case ENCRYPTION -> link.append(NO_ENCRYPTION);
+            case CANCEL -> end(null, "cancels nothing here");
+            default -> {
+                started = true;
+                in.started();
+                link.append(WELCOME);
+            }
+        }
+    }
+
+    /** Takes up what waits, unless a command is being answered. */
+    private void pump() throws ProtocolException {
+        while (open() && open == null && !waiting.isEmpty()) {
+            Command next = waiting.poll();
+            waitingBytes -= next.body.length;
+            if (next.type == 'X') end(null, "client said goodbye");
+            else if (next.type == 'Q') query(Reader.query(next.body));
+            else throw new ProtocolException("only simple queries are served here, not a message of type " + next.type);
+        }
+    }
+
+    private void query(byte[] text) {
+        asked = true;
+        quietSince = door.now();
+        if (blank(text)) {
+            answered(Writer.empty());
+            return;
+        }
+        String wrong;
+        try {
+            Statement statement = door.read(text);
+            ClientAsked made = new ClientAsked(this, statement);
+            wrong = door.take(made);
+            if (wrong == null) {
+                open = made;
+                door.arrived(made);
+                return;
+            }
+        } catch (Statement.UnreadableException e) {
+            wrong = e.getMessage();
+        }
+        door.refused(wrong);
+        answered(Writer.error("ERROR", "42601", wrong, null));
+    }
+
+    private static boolean blank(byte[] text) {
+        for (byte b : text) if (b != ' ' && b != ';' && b != '\n' && b != '\r' && b != '\t') return false;
+        return true;
+    }
+
+    private void answered(byte[]... messages) {
+        for (byte[] message : messages) link.append(message);
+        link.append(Writer.ready());
+        quietSince = door.now();
+        if (door.finishing()) end(null, "the relay is finishing");
+    }
+
+    /** The one final answer; none goes to a client that left. */
+    void answer(ClientAsked one, Ending ending, Span wait, byte[] body) {
+        one.over();
+        if (!open() || open != one) return;
+        open = null;
+        switch (ending) {
+            case OK -> answered(body);
+            case PUSHED_BACK -> answered(Writer.error("ERROR", "53300", "not taken; trying again is harmless",
+                wait.over(Span.ZERO) ? Long.toString((long) Math.ceil(wait.ms())) : null));
+            default -> answered(Writer.error("ERROR", "58000", "no unit gave an answer", null));
+        }
+        if (!waiting.isEmpty()) door.later(() -> { // not while the module acts
+            try {
+                pump();
+            } catch (ProtocolException e) {
+                end("08P01", e.getMessage());
+            }
+        });
+    }
+
+    void over(ClientAsked one) {
+        door.over(one);
+    }
+
+    /** Says why, unless {@code code} is null, and closes; an RPC that is open has that as its answer. */
+    private void end(String code, String why) {
+        if (!open()) return;
+        if (code != null) {
+            door.refused(why);
+            link.append(Writer.error("FATAL", code, why, null));
+        }
+        ending = true;
+        waiting.clear();
+        leave();
+        link.finish();
+    }
+
+    private void leave() {
+        if (open == null) return;
+        ClientAsked gone = open;
+        open = null;
+        door.left(gone);
+    }
+
+    @Override
+    public void closed(String why) {
+        closed = true;
+        waiting.clear();
+        leave();
+        door.gone(this);
+    }
+
+    /** Nothing is being asked on it, and nothing has been for so long. */
+    boolean quietFor(Span time) {
+        return open() && open == null && !in.partial() && waiting.isEmpty() && !time.over(door.now().since(quietSince));
+    }
+
+    boolean never() {
+        return !started;
+    }
+
+    /** Closes between commands; a client whose command crosses that asks again elsewhere. */
+    void close(String why) {
+        end(null, why);
+    }
+
+    /** Ends it if it says nothing, or stays within a message, for too long. */
+    void look(Span patience) {
+        Moment now = door.now();
+        if (!asked && open == null && now.since(cameAt).over(patience)) end("08P01", "nothing was asked for " + patience.ms() + " ms");
+        else if (partialSince != null && now.since(partialSince).over(patience)) end("08P01", "a message was begun and not ended for " + patience.ms() + " ms");
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/platform/Discovery.java
@@ -0,0 +1,186 @@
+package sprucerock.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.DoubleSupplier;
+import java.util.zip.CRC32;
+import sprucerock.http.HttpException;
+import sprucerock.http.Lines;
+import sprucerock.ledger.Ledger;
+import sprucerock.model.Unit;
+import sprucerock.net.Net;
+import sprucerock.serving.Events;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/** What discovery says of the units, told to the ledger; and each unit's connections. */
+final class Discovery implements Feed.Reader {
+    private static final int LINE = 1024 * 1024; // some thousand units
+    private static final int UNITS = 4096;
+    private static final Span SILENCE = Span.ofMs(3000); // an empty line comes every two seconds
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Ledger ledger;
+    private final Events events;
+    private final UnitDoors doors;
+    private final List<String> zones;
+    private final List<String> kinds;
+    /** The loop's clock at the origin of Unix time. */
+    private final Moment unix;
+    private final Runnable learnt;
+    private final Runnable lost;
+    private final Feed feed;
+    private final TreeMap<Long, String> names = new TreeMap<>();
+    private Lines lines = new Lines(LINE);
+    private long version;
+    private boolean listed;
+
+    Discovery(Net net, PlatformConfig config, Ledger ledger, Events events, UnitDoors doors, Moment unix,
+        DoubleSupplier dice, Runnable learnt, Runnable lost) {
+        this.ledger = ledger;
+        this.events = events;
+        this.doors = doors;
+        this.unix = unix;
+        this.learnt = learnt;
+        this.lost = lost;
+        zones = config.zones;
+        kinds = config.kinds;
+        feed = new Feed(net, config.discovery, () -> "/v1/servers?watch=1&from=" + version, SILENCE, dice, this);
+    }
+
+    /** Takes the list as it was known last, and asks for what changed since. */
+    void start(JsonNode known) {
+        if (known.isObject()) {
+            try {
+                take(known);
+            } catch (HttpException e) {
+                events.warn(Events.Kind.LISTING_REFUSED, "the list in the configuration: " + e.getMessage());
+            }
+        }
+        listed = false;
+        feed.dial();
+    }
+
+    void move(InetSocketAddress there) {
+        feed.move(there);
+    }
+
+    void stop() {
+        feed.stop();
+    }
+
+    /** Something was told since the start. */
+    boolean listed() {
+        return listed;
+    }
+
+    /** The unit of a name; null where none is listed. */
+    Unit unit(String name) {
+        long id = number(name);
+        return name.equals(names.get(id)) ? ledger.unit(id) : null;
+    }
+
+    @Override
+    public void begun() {
+        lines = new Lines(LINE);
+    }
+
+    @Override
+    public void piece(ByteBuffer bytes) throws HttpException {
+        lines.take(bytes, line -> {
+            if (line.isBlank()) return;
+            try {
+                take(JSON.readTree(line));
+            } catch (JsonProcessingException e) {
+                throw new HttpException("a line that is no JSON");
+            }
+            listed = true;
+            learnt.run();
+        });
+    }
+
+    @Override
+    public void lost(String why) {
+        events.warn(Events.Kind.ROSTER_LOST, why + "; the units listed last hold");
+        lost.run();
+    }
+
+    private void take(JsonNode listing) throws HttpException {
+        if (!listing.path("version").isIntegralNumber() || !listing.path("servers").isArray() || !listing.path("full").isBoolean()) {
+            throw new HttpException("a line that is no list");
+        }
+        Set<Long> named = new HashSet<>();
+        for (JsonNode entry : listing.get("servers")) {
+            String wrong = entry(entry, named);
+            if (wrong != null) events.warn(Events.Kind.LISTING_REFUSED, "unit " + entry.path("id").asText("?") + " has " + wrong + "; the entry is left out");
+        }
+        if (listing.get("full").asBoolean()) {
+            for (Unit unit : ledger.units()) if (!named.contains(unit.id)) removed(unit.id);
+        }
+        version = listing.get("version").asLong();
+    }
+
+    /** A number for the name, the same for all relays. */
+    private static long number(String name) {
+        CRC32 crc = new CRC32();
+        crc.update(name.getBytes(StandardCharsets.UTF_8));
+        return crc.getValue();
+    }
+
+    /** Takes an entry; null, or what is wrong with it. */
+    private String entry(JsonNode entry, Set<Long> named) {
+        String name = entry.path("id").asText("");
+        String state = entry.path("state").asText("");
+        if (name.isEmpty()) return "no id";
+        long id = number(name);
+        String other = names.get(id);
+        if (other != null && !other.equals(name)) return "the number of " + other + ", by chance";
+        if (state.equals("DELETED")) {
+            removed(id);
+            return null;
+        }
+        named.add(id); // an entry that can't be read does not say that the unit is gone
+        InetSocketAddress address = PlatformConfig.of(entry.path("addr").asText(""));
+        double weight = entry.path("weight").asDouble(1);
+        int build = entry.path("image_id").asInt(-1);
+        if (!state.equals("SERVING") && !state.equals("DRAINING")) return "no known state";
+        if (address == null) return "no address to connect to";
+        if (build >>> 16 != 0) return "no build from 0 to 65535";
+        if (!(weight > 0) || weight > 1e6) return "a weight that is not above 0";
+        if (other == null && names.size() >= UNITS) return "no room: " + UNITS + " units are known";
+        names.put(id, name);
+        double startedMs = entry.path("started_ms").asDouble(0);
+        Moment started = startedMs <= 0 ? null : unix.plus(Span.ofMs(startedMs));
+        Unit known = ledger.unit(id);
+        boolean sameRun = known != null && known.sameRun(build, started);
+        boolean moved = sameRun && known.door != null && !((UnitDoor) known.door).address.equals(address);
+        if (known != null && (!sameRun || moved)) leave(known);
+        if (moved) ledger.removed(id);
+        Unit unit = ledger.listed(id, Math.max(0, zones.indexOf(entry.path("zone").asText(""))),
+            Math.max(0, kinds.indexOf(entry.path("kind").asText(""))), entry.path("cell").asInt(0), build, started, weight,
+            state.equals("SERVING"));
+        if (unit.door == null) unit.door = new UnitDoor(unit, address, doors);
+        if (state.equals("DRAINING")) leave(unit);
+        return null;
+    }
+
+    private void removed(long id) {
+        names.remove(id);
+        Unit unit = ledger.unit(id);
+        if (unit == null) return;
+        ledger.removed(id);
+        leave(unit);
+    }
+
+    private static void leave(Unit unit) {
+        if (unit.door != null) ((UnitDoor) unit.door).leave();
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/platform/Serving.java
@@ -0,0 +1,200 @@
+package sprucerock.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import sprucerock.ledger.Ledger;
+import sprucerock.model.Build;
+import sprucerock.model.Method;
+import sprucerock.model.Pick;
+import sprucerock.model.Verdict;
+import sprucerock.net.Datagrams;
+import sprucerock.net.Net;
+import sprucerock.serving.Asked;
+import sprucerock.serving.Carrier;
+import sprucerock.serving.Ending;
+import sprucerock.serving.Events;
+import sprucerock.serving.Exchange;
+import sprucerock.stats.Chance;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/**
+ * A relay on the operators' platform: clients and units over PostgreSQL's protocol, discovery and release desk over HTTP,
+ * other relays by datagrams. It chooses no unit, no further pick and no vote. All of it runs on the loop's thread.
+ */
+public final class Serving extends Carrier implements ClientDoor.Owner, UnitDoors.Owner {
+    // of the descriptors a relay may hold: what the program itself, the list, the desk and the peers need
+    private static final int OWN = 40;
+    private static final double CLIENTS = 3.0 / 8; // usual ones hold a third at most; the rest is for the units
+    private static final Span WAIT_FOR_LIST = Span.ofMs(1000); // the agent answers at once
+    private static final Span STILL = Span.ofMs(600); // after being told to end new connections come for 400 ms at most
+    private static final Span GONE = Span.ofMs(750); // not before those have come
+    private static final Span FIGURES = Span.ofMs(5000);
+    private static final int DATAGRAM = 256;
+
+    private final PlatformConfig config;
+    private final Chance chance;
+    private final UnitDoors units;
+    private final ClientDoor clients;
+    private final Discovery discovery;
+    private final Desk desk;
+    private final Map<InetSocketAddress, Integer> peers = new HashMap<>();
+    private Datagrams datagrams;
+    private boolean taking;
+    private boolean finishing;
+
+    /** {@code unixMs}: the wall's clock now, in milliseconds of Unix time. */
+    public Serving(PlatformConfig config, Net net, double unixMs) {
+        super(net, config.settings, new Ledger(config.settings), new Events(net));
+        this.config = config;
+        // the doors' dice, apart from the module's, whose draws must not depend on links
+        chance = new Chance(config.seed ^ 0x5bd1e995L);
+        Map<String, Method> methods = new HashMap<>();
+        for (Method method : settings.methods) methods.put(config.methodNames.get(method.index), method);
+        int forClients = (int) (config.sockets * CLIENTS);
+        clients = new ClientDoor(net, events, this, methods, forClients);
+        units = new UnitDoors(net, events, this, config.sockets - forClients - OWN, config.idle, config.connectWithin);
+        Moment unix = net.now().minus(Span.ofMs(unixMs));
+        discovery = new Discovery(net, config, ledger, events, units, unix, chance::next, this::learnt, () -> module.listFailed());
+        desk = new Desk(net, config, ledger, events, chance::next, discovery::unit, reply -> module.voteAnswered(reply));
+        for (int i = 0; i < config.peers.size(); i++) peers.put(config.peers.get(i), i);
+    }
+
+    /**
+     * Listens and links up. On the loop's thread.
+     *
+     * @throws IOException if an address to listen at can't be had
+     */
+    public void start(Maker maker) throws IOException {
+        begin(maker, config.seed);
+        clients.start(config.listen);
+        if (settings.peers && config.peerListen != null) datagrams = net.datagrams(config.peerListen, this::told);
+        units.start();
+        discovery.start(config.known);
+        desk.start(config.news);
+        net.at(net.now().plus(WAIT_FOR_LIST), () -> letClientsIn("without discovery, which did not answer in time"));
+        net.at(net.now().plus(FIGURES), this::figures);
+    }
+
+    private void learnt() {
+        letClientsIn("with a list");
+    }
+
+    private void letClientsIn(String how) {
+        if (taking || finishing) return;
+        taking = true;
+        clients.take();
+        events.info(Events.Kind.STARTED, "relay " + config.name + ", number " + settings.index + " of " + settings.relays
+            + ", listens at " + config.listen + ", " + how);
+    }
+
+    private void figures() {
+        Runtime machine = Runtime.getRuntime();
+        events.info(Events.Kind.FIGURES, "open " + ledger.open() + " known " + ledger.known() + " clients " + clients.size() + " to-units " + units.open()
+            + " units " + ledger.units().size() + " heap-kb " + (machine.totalMemory() - machine.freeMemory()) / 1024);
+        net.at(net.now().plus(FIGURES), this::figures);
+    }
+
+    /** A new configuration: the addresses of discovery and desk are taken over, the rest holds from the start. */
+    public void reload(PlatformConfig anew) {
+        events.info(Events.Kind.SETTINGS, "discovery is at " + anew.discovery + ", the desk at " + anew.desk);
+        discovery.move(anew.discovery);
+        desk.move(anew.desk);
+    }
+
+    /** A new configuration can't be used; the old one holds. */
+    public void notReloaded(String why) {
+        events.error(Events.Kind.SETTINGS, why + "; what was read before holds");
+    }
+
+    /** Each open RPC gets its answer, clients that still come too; then {@code done} runs. */
+    public void finish(Runnable done) {
+        if (finishing) return;
+        finishing = true;
+        events.info(Events.Kind.FINISHING, ledger.open() + " RPCs are open");
+        if (!taking) clients.take();
+        clients.finish(STILL);
+        net.at(net.now().plus(GONE), () -> lookWhetherDone(done));
+    }
+
+    private void lookWhetherDone(Runnable done) {
+        if (ledger.open() > 0) {
+            net.at(net.now().plus(Span.ofMs(5)), () -> lookWhetherDone(done));
+            return;
+        }
+        discovery.stop();
+        desk.stop();
+        if (datagrams != null) datagrams.close();
+        events.info(Events.Kind.FINISHED, "every RPC taken has its answer");
+        net.at(net.now().plus(Span.ofMs(100)), done); // the last answers go out in this turn
+    }
+
+    // Clients.
+
+    @Override
+    public void arrived(ClientAsked asked) {
+        Statement said = asked.statement;
+        arrived(asked, said.method, 0, said.key, net.now().plus(Span.ofMs(said.deadlineMs)), null);
+    }
+
+    @Override
+    public void left(ClientAsked asked) {
+        super.left(asked);
+    }
+
+    @Override
+    protected void answer(Asked asked, Ending ending, Span wait, long unit, byte[] body) {
+        ((ClientAsked) asked).client.answer((ClientAsked) asked, ending, wait, body);
+    }
+
+    // Units.
+
+    @Override
+    protected Exchange exchange(Pick pick, Moment ends) {
+        return new PgExchange(pick, ends);
+    }
+
+    @Override
+    protected void toUnit(Exchange exchange) {
+        ((UnitDoor) exchange.pick().unit.door).send((PgExchange) exchange);
+    }
+
+    @Override
+    protected boolean giveUp(Exchange exchange, boolean told) {
+        return ((UnitDoor) exchange.pick().unit.door).giveUp((PgExchange) exchange);
+    }
+
+    // Release desk, discovery, peers.
+
+    @Override
+    public void vote(Build build, int stage, Verdict verdict) {
+        desk.vote(build, stage, verdict);
+    }
+
+    @Override
+    public void subscribe() {
+        // discovery tells all changes by itself, for as long as it can be reached
+    }
+
+    private void told(InetSocketAddress from, byte[] contents) {
+        Integer number = peers.get(from);
+        if (number != null && number != settings.index) module.peerTold(number, contents);
+    }
+
+    @Override
+    public void tellPeers(byte[] contents) {
+        tell(config.peersAll, contents);
+    }
+
+    @Override
+    public void tellPeer(int relay, byte[] contents) {
+        tell(relay < config.peers.size() ? config.peers.get(relay) : null, contents);
+    }
+
+    private void tell(InetSocketAddress to, byte[] contents) {
+        if (datagrams == null || to == null || contents.length > DATAGRAM) return;
+        datagrams.send(to, contents);
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucerock/platform/UnitLink.java
@@ -0,0 +1,212 @@
+package sprucerock.platform;
+
+import java.nio.ByteBuffer;
+import sprucerock.model.Outcome;
+import sprucerock.net.Link;
+import sprucerock.net.LinkUser;
+import sprucerock.pg.Messages;
+import sprucerock.pg.ProtocolException;
+import sprucerock.pg.Reader;
+import sprucerock.pg.Writer;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/**
+ * One connection to a unit, for one pick at a time. What comes is read strictly: an answer that is not whole ends its pick
+ * as broken, and a connection on which anything came that was not asked for is closed, as nobody can tell what follows.
+ */
+final class UnitLink implements LinkUser, Messages.User {
+    private enum At { STARTING, IDLE, ASKED, COLUMN, ROW, SERVED, FAILED }
+
+    private static final int MESSAGE = 68 * 1024; // a value of 64 KiB, and what goes with it
+    private static final Span SETTLE = Span.ofMs(1000); // readiness comes right behind an answer
+    private static final byte[] STARTUP = Writer.startup("svc", "main");
+
+    private final UnitDoor door;
+    private final Messages in = Messages.ofServer(MESSAGE);
+    private Link link;
+    private At at = At.STARTING;
+    private boolean authenticated;
+    private boolean closed;
+    private boolean becameIdle;
+    private Outcome startFailed = Outcome.NOT_CONNECTED;
+    private PgExchange exchange;
+    private long mark;
+    private byte[] column;
+    private byte[] row;
+    Moment idleSince;
+
+    UnitLink(UnitDoor door) {
+        this.door = door;
+    }
+
+    void connecting(Link made) {
+        link = made;
+    }
+
+    boolean starting() {
+        return at == At.STARTING;
+    }
+
+    boolean idle() {
+        return at == At.IDLE && !closed;
+    }
+
+    @Override
+    public void up(Link made) {
+        link = made;
+        link.append(STARTUP);
+    }
+
+    void send(PgExchange next) {
+        exchange = next;
+        next.link = this;
+        at = At.ASKED;
+        link.append(Writer.query(next.statement().within(next.ends().since(door.now()).ms())));
+        mark = link.written();
+        door.written(next);
+    }
+
+    @Override
+    public boolean open() {
+        return !closed;
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+        if (closed) return;
+        try {
+            in.take(bytes, this);
+            if (closed) return;
+            if (at == At.IDLE && in.partial()) throw new ProtocolException("something that was not asked for");
+            if (at == At.SERVED || at == At.FAILED) door.within(SETTLE, () -> {
+                if (at == At.SERVED || at == At.FAILED) cut("not ready again");
+            });
+            if (becameIdle) {
+                becameIdle = false;
+                idleSince = door.now();
+                door.idle(this);
+            }
+        } catch (ProtocolException e) {
+            door.spoilt(e.getMessage());
+            cut(e.getMessage());
+        }
+    }
+
+    @Override
+    public void message(char type, byte[] body) throws ProtocolException {
+        if (type == 'N' || type == 'S') return;
+        switch (at) {
+            case STARTING -> starting(type, body);
+            case ASKED -> {
+                if (type == 'T') {
+                    Reader.oneColumn(body);
+                    column = body;
+                    at = At.COLUMN;
+                } else {
+                    failed(type, body);
+                }
+            }
+            case COLUMN -> {
+                if (type == 'D') {
+                    Reader.oneValue(body);
+                    row = body;
+                    at = At.ROW;
+                } else {
+                    failed(type, body);
+                }
+            }
+            case ROW -> {
+                expect(type, 'C');
+                Reader.complete(body);
+                at = At.SERVED;
+                byte[] answer = Writer.join(Writer.message('T', column), Writer.message('D', row), Writer.message('C', body));
+                column = null;
+                row = null;
+                ended(Outcome.OK, answer);
+            }
+            case SERVED, FAILED -> {
+                expect(type, 'Z');
+                Reader.ready(body);
+                at = At.IDLE;
+                becameIdle = true;
+            }
+            default -> throw new ProtocolException("something that was not asked for");
+        }
+    }
+
+    private static void expect(char type, char wanted) throws ProtocolException {
+        if (type != wanted) throw new ProtocolException("a message of type " + type + " where " + wanted + " belongs");
+    }
+
+    private void starting(char type, byte[] body) throws ProtocolException {
+        if (type == 'R') {
+            Reader.authenticated(body);
+            authenticated = true;
+        } else if (type == 'E') {
+            if (full(body)) startFailed = Outcome.FULL;
+            throw new ProtocolException("no session: " + Reader.errorField(body, 'M'));
+        } else if (type == 'Z' && authenticated) {
+            Reader.ready(body);
+            at = At.IDLE;
+            becameIdle = true;
+        } else if (type != 'K') {
+            throw new ProtocolException("a message of type " + type + " in the welcome");
+        }
+    }
+
+    private static boolean full(byte[] error) throws ProtocolException {
+        return "53300".equals(Reader.errorField(error, 'C'));
+    }
+
+    private void failed(char type, byte[] body) throws ProtocolException {
+        expect(type, 'E');
+        Outcome outcome = full(body) && at == At.ASKED ? Outcome.FULL : Outcome.ERROR;
+        at = At.FAILED;
+        ended(outcome, new byte[0]);
+    }
+
+    private void ended(Outcome outcome, byte[] answer) {
+        PgExchange over = exchange;
+        exchange = null;
+        door.ended(over, outcome, answer);
+    }
+
+    /** Nobody waits for what was asked on it any more; true where that provably never left. */
+    boolean giveUp() {
+        exchange = null;
+        boolean never = link.handed() < mark;
+        cut("given up");
+        return never;
+    }
+
+    void cut(String why) {
+        if (closed) return;
+        link.cut(why);
+        down(why);
+    }
+
+    /** Closes in good order; nothing is asked on it. */
+    void close() {
+        if (closed) return;
+        link.append(Writer.terminate());
+        link.finish();
+        down("no longer needed");
+    }
+
+    private void down(String why) {
+        if (closed) return;
+        closed = true;
+        PgExchange open = exchange;
+        exchange = null;
+        // the last byte of a query that has not left proves that it never ran; after that nobody knows
+        if (open != null) door.endsSoon(open, link.handed() < mark ? Outcome.NOT_CONNECTED : Outcome.BROKEN);
+        door.down(this, startFailed, why);
+    }
+
+    @Override
+    public void closed(String why) {
+        down(why);
+        door.gone(this);
+    }
+}
--- a/src/main/java/sprucerock/relay/DeskLink.java
+++ b/src/main/java/sprucerock/relay/DeskLink.java
@@ -13,6 +13,7 @@
 import sprucerock.model.Verdict;
 import sprucerock.net.Net;
 import sprucerock.net.Timers.Timer;
+import sprucerock.serving.Events;
 import sprucerock.stats.Chance;
 import sprucerock.time.Span;
 import sprucerock.wire.FrameLink;
--- a/src/main/java/sprucerock/relay/Peers.java
+++ b/src/main/java/sprucerock/relay/Peers.java
@@ -7,6 +7,7 @@
 import sprucerock.config.RelayConfig;
 import sprucerock.ledger.Accounts;
 import sprucerock.net.Net;
+import sprucerock.serving.Events;
 import sprucerock.stats.Chance;
 import sprucerock.wire.FrameLink;
 import sprucerock.wire.FrameUser;
--- a/src/main/java/sprucerock/relay/Relay.java
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -6,19 +6,17 @@
 import java.util.List;
 import java.util.Set;
 import sprucerock.config.RelayConfig;
-import sprucerock.host.Host;
-import sprucerock.host.Module;
 import sprucerock.ledger.Accounts;
 import sprucerock.ledger.Ledger;
 import sprucerock.model.Build;
 import sprucerock.model.Outcome;
 import sprucerock.model.Pick;
-import sprucerock.model.Rpc;
-import sprucerock.model.Settings;
 import sprucerock.model.Unit;
 import sprucerock.model.Verdict;
 import sprucerock.net.Net;
 import sprucerock.net.Timers.Timer;
+import sprucerock.serving.Carrier;
+import sprucerock.serving.Events;
 import sprucerock.stats.Chance;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
@@ -38,12 +36,7 @@
  * has the answers that the configuration states, and none else; it chooses no unit, no further pick and no vote. All of
  * it runs on the loop's thread.
  */
-public final class Relay implements Host, UnitLinks.Owner {
-    /** Makes the module that decides. */
-    public interface Maker {
-        Module make(Host host, Settings settings, long seed);
-    }
-
+public final class Relay extends Carrier implements UnitLinks.Owner {
     // rows of figures; what is beyond counts as other. A monitor bears some thousand series a relay
     private static final int BUILDS = 16;
     private static final int UNITS = 1024;
@@ -52,10 +45,7 @@
     private static final Span FIGURES = Span.ofMs(10_000); // seldom enough for a log, often enough for a first look
 
     private final RelayConfig config;
-    private final Net net;
     private final Tap tap;
-    private final Events events;
-    private final Ledger ledger;
     private final Accounts accounts;
     private final Hello mine;
     private final Chance chance;
@@ -64,9 +54,7 @@
     private final DeskLink desk;
     private final RosterLink roster;
     private final Set<ClientLink> clients = new LinkedHashSet<>();
-    private Module module;
     private Net.Listener listener;
-    private long lastRpc;
     private boolean taking;
     private boolean finishing;
     private volatile Long tlsDaysLeft;
@@ -76,12 +64,11 @@
 
     /** Nothing is opened yet, see {@link #start}. */
     public Relay(RelayConfig config, Net net, Tap tap) {
+        super(net, config.settings, new Ledger(config.settings, new Accounts(config.methodNames,
+            new Accounts.Room(BUILDS, Math.min(config.units, UNITS), CUSTOMERS))), new Events(net));
         this.config = config;
-        this.net = net;
         this.tap = tap;
-        events = new Events(net);
-        accounts = new Accounts(config.methodNames, new Accounts.Room(BUILDS, Math.min(config.units, UNITS), CUSTOMERS));
-        ledger = new Ledger(config.settings, accounts);
+        accounts = ledger.accounts();
         // the doors' dice, apart from the module's, whose draws must not depend on links
         chance = new Chance(config.seed ^ 0x5bd1e995L);
         mine = Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.RELAY).setNumber(config.settings.index)
@@ -114,8 +101,7 @@
      */
     public void start(Maker maker, Aside aside) throws IOException, Material.BadMaterialException {
         secured.start(aside, this::moveUnits);
-        module = maker.make(this, config.settings, config.seed);
-        ledger.tell(module);
+        begin(maker, config.seed);
         listener = net.bind(config.listen, config.clients, config.link.unsent(), () -> {
             ClientLink client = new ClientLink(this);
             clients.add(client);
@@ -195,11 +181,6 @@
         return ledger;
     }
 
-    /** What goes wrong in the program itself is logged here. */
-    public void broken(Throwable why) {
-        events.broken(why);
-    }
-
     /**
      * No new RPC is taken; each open one gets its one answer, by its deadline or when the configured time is over. Then
      * {@code done} runs.
@@ -275,27 +256,8 @@
         double left = (Long.compareUnsigned(call.getLeftUs(), dayUs) > 0 ? dayUs : call.getLeftUs()) / 1000.0;
         Span hint = call.getHintUs() <= 0 ? null : Span.ofMs(call.getHintUs() / 1000.0);
         Moment deadline = now.plus(Span.ofMs(left));
-        // guards against a fault in the module: whatever it forgot has an answer, one that promises nothing
-        asked.until.add(net.at(deadline, () -> forgotten(asked)));
         int customer = call.getCustomer() < 0 ? Integer.MAX_VALUE : call.getCustomer(); // unsigned on the wire
-        asked.number = ++lastRpc;
-        ledger.arrived(asked.number, config.settings.methods.get(call.getMethod()), customer,
-            call.getKey(), now, deadline, hint, asked);
-    }
-
-    private void forgotten(Asked asked) {
-        events.broken(new IllegalStateException("an RPC had no answer at its deadline; it is aborted"));
-        abort(ledger.rpc(asked.number));
-    }
-
-    /** At the end of the relay's time: an answer that promises nothing. */
-    void abort(Asked asked) {
-        abort(ledger.rpc(asked.number));
-    }
-
-    void left(Asked asked) {
-        asked.over();
-        ledger.clientLeft(ledger.rpc(asked.number));
+        arrived(asked, config.settings.methods.get(call.getMethod()), customer, call.getKey(), deadline, hint);
     }
 
     void flagged(long unit, long agoUs) {
@@ -327,31 +289,11 @@
         events.warn(misnamed ? Events.Kind.UNIT_MISNAMED : Events.Kind.UNIT_REFUSED, "unit " + unit.id + ": " + why);
     }
 
-    @Override
-    public void ended(Exchange exchange, Outcome outcome, byte[] body) {
-        if (exchange.over) return;
-        exchange.over();
-        Pick pick = exchange.pick;
-        boolean answers = outcome == Outcome.OK && !pick.rpc.ended();
-        if (answers) answer(pick.rpc, Ending.OK, Span.ZERO, pick.unit.id, body);
-        ledger.pickEnded(pick, outcome, net.now().since(pick.sent), answers || pick.rpc.ended());
-    }
-
-    @Override
-    public void written(Exchange exchange) {
-        ledger.written(exchange.pick);
-    }
-
     @Override
     public void late(Outcome outcome) {
         ledger.lateResult(outcome);
     }
 
-    @Override
-    public void endsSoon(Exchange exchange, Outcome outcome) {
-        net.atTurnsEnd(() -> ended(exchange, outcome, ClientLink.NO_BODY));
-    }
-
     @Override
     public Timer at(Moment when, Runnable what) {
         return net.at(when, what);
@@ -368,75 +310,36 @@
             + Integer.toUnsignedString(other.getNumber()) + " answered");
     }
 
-    private void timedOut(Exchange exchange) {
-        if (exchange.over) return;
-        boolean never = links(exchange).giveUp(exchange, false); // its unit was told how long it is waited for
-        ended(exchange, never ? Outcome.MOOT : Outcome.TIMED_OUT, ClientLink.NO_BODY);
-    }
-
-    private static UnitLinks links(Exchange exchange) {
-        return (UnitLinks) exchange.pick.unit.door;
-    }
-
-    private void answer(Rpc rpc, Ending ending, Span wait, long unit, byte[] body) {
-        Asked asked = (Asked) rpc.door;
-        asked.client.answer(asked, ending, (long) (wait.ms() * 1000), unit, body);
-    }
-
-    // What the module does.
-
-    @Override
-    public Moment now() {
-        return net.now();
-    }
-
-    @Override
-    public void send(Pick pick) {
-        ledger.sent(pick);
-        Moment now = net.now();
-        Moment until = pick.patience == null ? pick.rpc.deadline : pick.rpc.deadline.earlier(now.plus(pick.patience));
-        Exchange exchange = new Exchange(pick, until);
-        pick.door = exchange;
-        exchange.end = net.at(until, () -> timedOut(exchange));
-        boolean moot = pick.rpc.ended() || !until.after(now) || pick.rpc.picks.size() > config.settings.maxPicks;
-        if (moot) endsSoon(exchange, Outcome.MOOT);
-        else links(exchange).send(exchange);
-    }
-
     @Override
-    public void cancel(Pick pick) {
-        Exchange exchange = (Exchange) pick.door;
-        if (exchange.over) return;
-        boolean never = links(exchange).giveUp(exchange, true);
-        endsSoon(exchange, never ? Outcome.MOOT : Outcome.CANCELLED);
+    protected Exchange exchange(Pick pick, Moment ends) {
+        return new Exchange(pick, ends);
     }
 
     @Override
-    public void pushBack(Rpc rpc, Span wait) {
-        answer(rpc, Ending.PUSHED_BACK, wait, 0, ClientLink.NO_BODY);
-        ledger.pushedBack(rpc);
+    protected void toUnit(sprucerock.serving.Exchange exchange) {
+        links(exchange).send((Exchange) exchange);
     }
 
     @Override
-    public void abort(Rpc rpc) {
-        answer(rpc, Ending.ABORTED, Span.ZERO, 0, ClientLink.NO_BODY);
-        ledger.aborted(rpc);
+    protected boolean giveUp(sprucerock.serving.Exchange exchange, boolean told) {
+        return links(exchange).giveUp((Exchange) exchange, told);
     }
 
-    @Override
-    public void wake(Moment when, Runnable what) {
-        net.at(when, what);
+    private static UnitLinks links(sprucerock.serving.Exchange exchange) {
+        return (UnitLinks) exchange.pick().unit.door;
     }
 
     @Override
-    public void wake(Rpc rpc, Moment when, Runnable what) {
-        ((Asked) rpc.door).until.add(net.at(when, what));
+    protected void answer(sprucerock.serving.Asked asked, sprucerock.serving.Ending ending, Span wait, long unit, byte[] body) {
+        Ending told = switch (ending) {
+            case OK -> Ending.OK;
+            case PUSHED_BACK -> Ending.PUSHED_BACK;
+            case ABORTED -> Ending.ABORTED;
+        };
+        ((Asked) asked).client.answer((Asked) asked, told, (long) (wait.ms() * 1000), unit, body);
     }
 
-    @Override
-    public void wake(Pick pick, Moment when, Runnable what) {
-        ((Exchange) pick.door).until.add(net.at(when, what));
-    }
+    // What the module does.
 
     @Override
     public void vote(Build build, int stage, Verdict verdict) {
@@ -457,9 +360,4 @@
     public void subscribe() {
         roster.subscribe();
     }
-
-    @Override
-    public void log(String line) {
-        events.info(Events.Kind.MODULE, line);
-    }
 }
--- a/src/main/java/sprucerock/relay/RosterLink.java
+++ b/src/main/java/sprucerock/relay/RosterLink.java
@@ -11,6 +11,7 @@
 import sprucerock.ledger.Ledger;
 import sprucerock.model.Unit;
 import sprucerock.net.Net;
+import sprucerock.serving.Events;
 import sprucerock.stats.Chance;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
--- a/src/main/java/sprucerock/relay/Secured.java
+++ b/src/main/java/sprucerock/relay/Secured.java
@@ -7,6 +7,7 @@
 import sprucerock.ledger.Accounts;
 import sprucerock.net.LinkUser;
 import sprucerock.net.Net;
+import sprucerock.serving.Events;
 import sprucerock.time.Span;
 import sprucerock.tls.Aside;
 import sprucerock.tls.Material;
--- a/src/main/java/sprucerock/relay/UnitLink.java
+++ b/src/main/java/sprucerock/relay/UnitLink.java
@@ -64,9 +64,9 @@
     }
 
     void send(Exchange exchange, Moment now) {
-        Rpc rpc = exchange.pick.rpc;
+        Rpc rpc = exchange.pick().rpc;
         Asked asked = (Asked) rpc.door;
-        Span left = exchange.ends.since(now);
+        Span left = exchange.ends().since(now);
         Work.Builder work = Work.newBuilder().setId(++lastId).setMethod(rpc.method.index).setCustomer(rpc.customer)
             .setKey(rpc.key).setLeftUs((long) (left.ms() * 1000)).setHintUs((long) (rpc.hinted().ms() * 1000));
         if (rpc.method.effect == Method.Effect.TOKENED) work.setToken(asked.token);
--- a/src/main/java/sprucerock/relay/UnitLinks.java
+++ b/src/main/java/sprucerock/relay/UnitLinks.java
@@ -23,13 +23,13 @@
     interface Owner {
         void open(UnitLink link, InetSocketAddress to, String name);
 
-        void ended(Exchange exchange, Outcome outcome, byte[] body);
+        void ended(sprucerock.serving.Exchange exchange, Outcome outcome, byte[] body);
 
         /** The same, but told once the module has returned from what it does now. */
-        void endsSoon(Exchange exchange, Outcome outcome);
+        void endsSoon(sprucerock.serving.Exchange exchange, Outcome outcome);
 
         /** It is on a connection now. */
-        void written(Exchange exchange);
+        void written(sprucerock.serving.Exchange exchange);
 
         /** A result came for a pick that had ended before. */
         void late(Outcome outcome);
@@ -165,7 +165,7 @@
             Exchange next = waiting.poll();
             next.waiting.cancel();
             // its RPC may have ended while it waited: nothing more is sent for that
-            if (next.pick.rpc.ended()) owner.endsSoon(next, Outcome.MOOT);
+            if (next.pick().rpc.ended()) owner.endsSoon(next, Outcome.MOOT);
             else link.send(next, owner.now());
         }
     }
--- /dev/null
+++ b/src/main/java/sprucerock/serving/Ending.java
@@ -0,0 +1,4 @@
+package sprucerock.serving;
+
+/** What a client is told at the end. */
+public enum Ending { OK, PUSHED_BACK, ABORTED }
--- a/src/main/java/sprucerock/relay/Events.java
+++ b/src/main/java/sprucerock/serving/Events.java
@@ -1,4 +1,4 @@
-package sprucerock.relay;
+package sprucerock.serving;
 
 import java.util.EnumMap;
 import java.util.Map;
@@ -9,11 +9,11 @@
 import sprucerock.time.Span;
 
 /** What a relay says in its log: each kind of event at most once a second, with how many were left out in between. */
-final class Events {
+public final class Events {
     /** The kinds, as docs/operators/relay.md explains them one by one. */
-    enum Kind {
+    public enum Kind {
         STARTED, FIGURES, FINISHING, FINISHED, MODULE, CLIENT_CUT, CLIENT_REFUSED, TURNED_AWAY, UNIT_LOST, UNIT_MISNAMED,
-        LISTING_REFUSED, ROSTER_LOST, ROSTER_BACK, DESK_LOST, DESK_BACK, NEWS_REFUSED, PEER_LOST, VOTE_UNANSWERED, DRIFT, FIGURES_FILE, UNIT_REFUSED, TLS_FILES, BROKEN
+        LISTING_REFUSED, ROSTER_LOST, ROSTER_BACK, DESK_LOST, DESK_BACK, NEWS_REFUSED, PEER_LOST, VOTE_UNANSWERED, DRIFT, FIGURES_FILE, UNIT_REFUSED, TLS_FILES, SETTINGS, PLATFORM_UNREADABLE, BROKEN
     }
 
     private static final Span EVERY = Span.ofMs(1000); // readable while it streams by, and a bound for disks
@@ -23,24 +23,24 @@
     private final Map<Kind, Moment> said = new EnumMap<>(Kind.class);
     private final Map<Kind, Integer> leftOut = new EnumMap<>(Kind.class);
 
-    Events(Timers timers) {
+    public Events(Timers timers) {
         this.timers = timers;
     }
 
-    void info(Kind kind, String text) {
+    public void info(Kind kind, String text) {
         if (due(kind)) log.info("{} {}", kind, text(kind, text));
     }
 
-    void warn(Kind kind, String text) {
+    public void warn(Kind kind, String text) {
         if (due(kind)) log.warn("{} {}", kind, text(kind, text));
     }
 
-    void error(Kind kind, String text) {
+    public void error(Kind kind, String text) {
         if (due(kind)) log.error("{} {}", kind, text(kind, text));
     }
 
     /** Something in the program itself went wrong; always said. */
-    void broken(Throwable why) {
+    public void broken(Throwable why) {
         log.error("{} {}", Kind.BROKEN, why.toString(), why);
     }
 
--- /dev/null
+++ b/src/main/java/sprucerock/serving/Exchange.java
@@ -0,0 +1,50 @@
+package sprucerock.serving;
+
+import java.util.ArrayList;
+import java.util.List;
+import sprucerock.model.Pick;
+import sprucerock.net.Timers.Timer;
+import sprucerock.time.Moment;
+
+/** A pick on its way: waiting for a connection, or on one. Each door to units keeps in it what it needs there. */
+public class Exchange {
+    private final Pick pick;
+    private final Moment ends;
+    private boolean over;
+    private Timer end;
+    /** What is to be done while the pick is out. */
+    private final List<Timer> until = new ArrayList<>(1);
+
+    public Exchange(Pick pick, Moment ends) {
+        this.pick = pick;
+        this.ends = ends;
+    }
+
+    public final Pick pick() {
+        return pick;
+    }
+
+    /** When nobody waits for it any more. */
+    public final Moment ends() {
+        return ends;
+    }
+
+    public final boolean over() {
+        return over;
+    }
+
+    final void endBy(Timer timer) {
+        end = timer;
+    }
+
+    final void until(Timer timer) {
+        until.add(timer);
+    }
+
+    final void end() {
+        over = true;
+        end.cancel();
+        for (Timer timer : until) timer.cancel();
+        until.clear();
+    }
+}
--- a/src/main/java/sprucerock/sim/SettingsText.java
+++ b/src/main/java/sprucerock/settings/SettingsText.java
@@ -1,4 +1,4 @@
-package sprucerock.sim;
+package sprucerock.settings;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -6,20 +6,27 @@
 import sprucerock.model.Settings;
 import sprucerock.time.Span;
 
-/** Start settings as the simulator writes them: path=value, one a line. */
+/** Start settings as the operators write them: values under paths; the simulator has path=value, one a line. */
 public final class SettingsText {
     private final Map<String, String> pairs = new HashMap<>();
 
-    private SettingsText(String text) {
+    private SettingsText(Map<String, String> given) {
+        pairs.putAll(given);
+    }
+
+    /** Fails with an {@link IllegalArgumentException} that names the setting which is missing or not understood. */
+    public static Settings read(String text) {
+        Map<String, String> pairs = new HashMap<>();
         for (String line : text.split("\n")) {
             int eq = line.indexOf('=');
             if (eq > 0) pairs.put(line.substring(0, eq).trim(), line.substring(eq + 1).trim());
         }
+        return read(pairs);
     }
 
-    /** Fails with an {@link IllegalArgumentException} that names the setting which is missing or not understood. */
-    public static Settings read(String text) {
-        return new Settings(new SettingsText(text).draft());
+    /** The same of pairs of path and value. */
+    public static Settings read(Map<String, String> pairs) {
+        return new Settings(new SettingsText(pairs).draft());
     }
 
     private Settings.Draft draft() {
--- a/src/main/java/sprucerock/sim/Relay.java
+++ b/src/main/java/sprucerock/sim/Relay.java
@@ -17,6 +17,7 @@
 import sprucerock.model.Settings;
 import sprucerock.model.Standing;
 import sprucerock.model.Verdict;
+import sprucerock.settings.SettingsText;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
--- a/src/main/java/sprucerock/wire/Redial.java
+++ b/src/main/java/sprucerock/wire/Redial.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import sprucerock.net.LinkUser;
 import sprucerock.net.Net;
+import sprucerock.net.Pauses;
 import sprucerock.stats.Chance;
 import sprucerock.time.Span;
 import sprucerock.wire.v1.Hello;
@@ -25,10 +26,9 @@
     private final Hello mine;
     private final Limits limits;
     private final Tap tap;
-    private final Chance chance;
+    private final Pauses pauses;
     private final FrameUser user;
     private FrameLink link;
-    private Span pause = FIRST;
     private boolean stopped;
 
     public Redial(Net net, InetSocketAddress to, Hello mine, Limits limits, Tap tap, Chance chance, FrameUser user) {
@@ -42,7 +42,7 @@
         this.mine = mine;
         this.limits = limits;
         this.tap = tap;
-        this.chance = chance;
+        pauses = new Pauses(FIRST, MOST, chance::next);
         this.user = user;
     }
 
@@ -79,7 +79,7 @@
 
     @Override
     public void greeted(FrameLink made, Hello other) {
-        pause = FIRST;
+        pauses.over();
         user.greeted(made, other);
     }
 
@@ -92,8 +92,6 @@
     public void closed(String why) {
         user.closed(why);
         if (stopped) return;
-        // from half to all of it: hundreds that lost the same one don't come back together
-        net.at(net.now().plus(pause.times(0.5 + 0.5 * chance.next())), this::dial);
-        pause = pause.times(2).atMost(MOST);
+        net.at(net.now().plus(pauses.next()), this::dial);
     }
 }
--- a/src/test/java/sprucerock/FakeHost.java
+++ b/src/test/java/sprucerock/FakeHost.java
@@ -13,7 +13,7 @@
 import sprucerock.model.Standing;
 import sprucerock.model.Unit;
 import sprucerock.model.Verdict;
-import sprucerock.sim.SettingsText;
+import sprucerock.settings.SettingsText;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
--- a/src/test/java/sprucerock/net/ScriptedNet.java
+++ b/src/test/java/sprucerock/net/ScriptedNet.java
@@ -124,6 +124,28 @@
         return near;
     }
 
+    /** Datagram sockets by address; {@link #losesDatagrams} loses all that is sent. */
+    private final Map<InetSocketAddress, Datagrams.User> datagrams = new HashMap<>();
+    public boolean losesDatagrams;
+
+    @Override
+    public Datagrams datagrams(InetSocketAddress at, Datagrams.User user) {
+        datagrams.put(at, user);
+        return new Datagrams() {
+            @Override
+            public boolean send(InetSocketAddress to, byte[] bytes) {
+                Datagrams.User other = losesDatagrams ? null : datagrams.get(to);
+                if (other != null) events.add(() -> other.came(at, bytes));
+                return other != null;
+            }
+
+            @Override
+            public void close() {
+                datagrams.remove(at, user);
+            }
+        };
+    }
+
     private void join(End near, Door door) {
         End far = new End(door.users.get());
         near.other = far;
