--- a/src/main/java/sprucerock/platform/ClientDoor.java
+++ b/src/main/java/sprucerock/platform/ClientDoor.java
@@ -25,7 +25,7 @@
 
     private static final Span PATIENCE = Span.ofMs(2000); // a client that means it needs some milliseconds
     private static final Span LOOK = Span.ofMs(250);
-    private static final Span IDLE = Span.ofMs(2000); // clients bear a close between commands; one just used may be used again
+    private static final Span SPEAKS = Span.ofMs(100); // who was just taken or answered may be about to ask
     private static final int SPARE = 8; // being closed, while new ones come
     private static final long UNSENT = 512 * 1024;
 
@@ -51,7 +51,6 @@
         listener = net.bind(at, most + SPARE, UNSENT, () -> {
             ClientLink link = new ClientLink(this, net.now());
             links.add(link);
-            if (links.size() > most) later(() -> makeRoom(link));
             return link;
         });
         look();
@@ -65,16 +64,23 @@
         return links.size();
     }
 
+    /** It was taken. */
+    void up(ClientLink link) {
+        if (links.size() > most) later(() -> makeRoom(link));
+    }
+
+    /**
+     * One that never spoke goes first, else the one on which nothing was asked for longest. Where all are being answered the
+     * newest goes, unless it has asked too: whose request was taken is never cut off.
+     */
     private void makeRoom(ClientLink newest) {
         ClientLink goes = null;
-        for (ClientLink link : links) { // the oldest first
-            if (link != newest && link.never()) {
-                goes = link;
-                break;
-            }
-            if (goes == null && link.quietFor(IDLE)) goes = link;
+        for (ClientLink link : links) {
+            if (link == newest || !link.quietFor(SPEAKS)) continue;
+            if (goes == null || link.never() && !goes.never() || link.never() == goes.never() && link.quietSince().ms() < goes.quietSince().ms()) goes = link;
         }
-        (goes == null ? newest : goes).close("too many connections");
+        if (goes != null) goes.close("too many connections");
+        else if (newest.quietFor(Span.ZERO)) newest.close("too many connections");
     }
 
     private void look() {
--- a/src/main/java/sprucerock/platform/ClientLink.java
+++ b/src/main/java/sprucerock/platform/ClientLink.java
@@ -45,6 +45,7 @@
     @Override
     public void up(Link made) {
         link = made;
+        door.up(this);
     }
 
     @Override
@@ -192,6 +193,10 @@
         return open() && open == null && !in.partial() && waiting.isEmpty() && !time.over(door.now().since(quietSince));
     }
 
+    Moment quietSince() {
+        return quietSince;
+    }
+
     boolean never() {
         return !started;
     }
--- a/src/test/java/sprucerock/net/ScriptedNet.java
+++ b/src/test/java/sprucerock/net/ScriptedNet.java
@@ -11,7 +11,7 @@
 import sprucerock.time.Span;
 
 /** Links and timers in memory, in steps of a fixed length: due timers first, then all that moves until nothing does. */
-public final class ScriptedNet implements Net {
+public class ScriptedNet implements Net {
     private record Due(double whenMs, long order, Runnable[] what) {}
 
     private final PriorityQueue<Due> timers = new PriorityQueue<>((a, b) -> a.whenMs != b.whenMs
@@ -24,6 +24,8 @@
     private long made;
     /** Connections that are begun stay in the making while this is set. */
     public boolean connectsHang;
+    /** All events that are there make one turn, as in a loop under load; else each makes one of its own. */
+    public boolean busyTurns;
     /** How many connections were begun. */
     public int connects;
 
@@ -46,7 +48,12 @@
             Runnable what = timers.poll().what[0];
             if (what != null) turn(what);
         }
-        while (!events.isEmpty()) turn(events.poll());
+        while (!events.isEmpty()) {
+            if (!busyTurns) turn(events.poll());
+            else turn(() -> {
+                for (int i = events.size(); i > 0; i--) events.poll().run();
+            });
+        }
     }
 
     /** Does it as an event of its own, with its turn's end. */
