A relay warms up in memory before its doors open; the queue must be old as well as long

A trace of the loop and of overloaded(): (a) the first turns stood still for up to 1090 ms (class loading and interpreting at half a core); (b) after that picks took 98 to 180 ms, but the wait was reckoned at 300 to 430 ms over and over: answers/s is a sum of 2 s and lags behind traffic that has just come, so 40 RPCs out over 95/s look like a queue though 380/s are coming. Excluded: real queues at units (times), the fleet's wait (not in play).

(b) Policy takes the smaller of the wait by Little's law and twice the mean age of the RPCs out.

--- a/src/main/java/sprucerock/Main.java
+++ b/src/main/java/sprucerock/Main.java
@@ -13,6 +13,7 @@
     public static void main(String[] args) throws IOException, InterruptedException {
         if (args.length == 1 && args[0].equals("simhost")) simhost(); // apart, as the bench pays for each start
         else if (args.length == 1 && args[0].equals("serve")) Runtime.getRuntime().halt(ServeCommand.serve()); // each restart counts too
+        else if (args.length == 1 && args[0].equals("warm")) ServeCommand.warm(); // for the build's archive of classes
         else System.exit(Commands.run(args));
     }
 
--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -50,6 +50,7 @@
     private final DecayingSum repeats = new DecayingSum(Span.ofMs(5000));
     private final DecayingSum answered = new DecayingSum(Span.ofMs(2000));
     private int timely;
+    private double timelySinceMs; // the sum of their arrivals
 
     private final Ballot ballot = new Ballot();
     private Moment lastAsked;
@@ -150,6 +151,7 @@
         if (settings.oneWayKeys) keyArrivals.add(rpc.key, now, 1);
         feedTokens(rpc.method);
         timely++;
+        timelySinceMs += now.ms();
         if (overloaded(rpc)) giveUp(rpc);
         else route(rpc);
     }
@@ -341,7 +343,10 @@
     }
 
     private void settle(Rpc rpc) { // no longer in the queue: answered, or past its soft deadline
-        if (!rpc.settled) timely--;
+        if (!rpc.settled) {
+            timely--;
+            timelySinceMs -= rpc.arrived.ms();
+        }
         rpc.settled = true;
     }
 
@@ -353,6 +358,9 @@
         Moment now = host.now();
         double queue = timely - 3; // three more is chance
         double waitMs = 1000 * queue / Math.max(answered.perSecond(started, now), 0.5);
+        // Answers lag behind traffic that has just come; but who waits long is also old: in a queue of W the
+        // RPCs are W/2 old. Guards against doors shut on a relay that starts, or whose traffic comes back.
+        waitMs = Math.min(waitMs, 2 * (now.ms() - timelySinceMs / Math.max(timely, 1)));
         boolean byFleet = loadsFresh() && arrivals.perSecond(now) < 10;
         double worth = rpc.method.utility / settings.mostUtility;
         double over = customers.timesShare(rpc.customer, now);
--- a/src/main/java/sprucerock/cli/ServeCommand.java
+++ b/src/main/java/sprucerock/cli/ServeCommand.java
@@ -1,15 +1,21 @@
 package sprucerock.cli;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
 import picocli.CommandLine.Command;
 import sprucerock.Policy;
 import sprucerock.config.ConfigException;
+import sprucerock.net.Link;
+import sprucerock.net.LinkUser;
+import sprucerock.net.Net;
 import sprucerock.net.nio.NioLoop;
 import sprucerock.platform.PlatformConfig;
 import sprucerock.platform.Serving;
+import sprucerock.platform.WarmUp;
+import sprucerock.time.Span;
 import sun.misc.Signal;
 
 /** Named here for the help; Main starts it without this command line. */
@@ -29,6 +35,7 @@
         try {
             PlatformConfig config = PlatformConfig.read(System.getenv());
             Logs.to(Logs.Form.PLAIN);
+            WarmUp.run(Policy::new);
             NioLoop loop = new NioLoop("serving", e -> {
                 if (serving.get() != null) serving.get().broken(e);
                 else e.printStackTrace(System.err);
@@ -57,6 +64,60 @@
         }
     }
 
+    /**
+     * Loads what {@link #serve} needs and ends, so that the virtual machine can write it into an archive of classes. Run by the
+     * build; opens sockets on loopback alone.
+     */
+    public static void warm() throws IOException, InterruptedException {
+        Logs.to(Logs.Form.PLAIN);
+        int answered = WarmUp.run(Policy::new);
+        CountDownLatch heard = new CountDownLatch(1);
+        NioLoop loop = new NioLoop("warm", Throwable::printStackTrace);
+        loop.post(() -> {
+            try {
+                java.net.InetSocketAddress here = new java.net.InetSocketAddress(java.net.InetAddress.getLoopbackAddress(), 0);
+                Span within = Span.ofMs(1000);
+                Net.Listener listener = loop.listen(here, 4, 1 << 16, () -> new Echo(false, heard));
+                loop.connect(listener.address(), within, 1 << 16, new Echo(true, heard));
+                loop.datagrams(here, (from, bytes) -> { }).send(listener.address(), new byte[4]);
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+        boolean done = heard.await(5, java.util.concurrent.TimeUnit.SECONDS);
+        loop.close();
+        System.out.println("warm: " + answered + " RPCs answered in memory, sockets " + (done ? "spoke" : "were silent"));
+    }
+
+    /** Sends some bytes back and forth. */
+    private static final class Echo implements LinkUser {
+        private final boolean first;
+        private final CountDownLatch heard;
+        private Link link;
+        private int rounds;
+
+        Echo(boolean first, CountDownLatch heard) {
+            this.first = first;
+            this.heard = heard;
+        }
+
+        @Override
+        public void up(Link made) {
+            link = made;
+            if (first) link.append(new byte[64]);
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            if (++rounds == 100) heard.countDown();
+            if (rounds < 200) link.append(new byte[bytes.remaining()]);
+            else link.finish();
+        }
+
+        @Override
+        public void closed(String why) {}
+    }
+
     private static void reload(NioLoop loop, AtomicReference<Serving> serving) {
         try { // read on the signal's own thread: the loop reads no files
             PlatformConfig anew = PlatformConfig.read(System.getenv());
--- a/src/test/java/sprucerock/net/ScriptedNet.java
+++ b/src/main/java/sprucerock/net/ScriptedNet.java
@@ -10,7 +10,10 @@
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
-/** Links and timers in memory, in steps of a fixed length: due timers first, then all that moves until nothing does. */
+/**
+ * Links and timers in memory, in steps of a fixed length: due timers first, then all that moves until nothing does. Tests run
+ * on it, and what a relay does before it opens a socket.
+ */
 public class ScriptedNet implements Net {
     private record Due(double whenMs, long order, Runnable[] what) {}
 
--- a/src/main/java/sprucerock/platform/PlatformConfig.java
+++ b/src/main/java/sprucerock/platform/PlatformConfig.java
@@ -77,14 +77,18 @@
         Path file = Path.of(named);
         try {
             if (Files.size(file) > MOST) throw new ConfigException(file + ": more than " + MOST + " bytes; a configuration is far smaller");
-            JsonNode root = new ObjectMapper().readTree(Files.readAllBytes(file));
-            if (root == null || !root.isObject()) throw new ConfigException(file + ": is no JSON object");
-            return new PlatformConfig(file, root, environment);
+            return of(file, Files.readAllBytes(file), environment);
         } catch (IOException e) {
             throw new ConfigException(file + ": can't be read: " + String.valueOf(e.getMessage()).split("\n")[0]);
         }
     }
 
+    static PlatformConfig of(Path file, byte[] json, Map<String, String> environment) throws ConfigException, IOException {
+        JsonNode root = new ObjectMapper().readTree(json);
+        if (root == null || !root.isObject()) throw new ConfigException(file + ": is no JSON object");
+        return new PlatformConfig(file, root, environment);
+    }
+
     private static String text(Path file, JsonNode in, String key, String otherwise) throws ConfigException {
         JsonNode value = in.path(key);
         if (value.isTextual()) return value.asText();
--- a/src/main/java/sprucerock/platform/Serving.java
+++ b/src/main/java/sprucerock/platform/Serving.java
@@ -47,7 +47,11 @@
 
     /** {@code unixMs}: the wall's clock now, in milliseconds of Unix time. */
     public Serving(PlatformConfig config, Net net, double unixMs) {
-        super(net, config.settings, new Ledger(config.settings), new Events(net));
+        this(config, net, unixMs, new Events(net));
+    }
+
+    Serving(PlatformConfig config, Net net, double unixMs, Events events) {
+        super(net, config.settings, new Ledger(config.settings), events);
         this.config = config;
         // the doors' dice, apart from the module's, whose draws must not depend on links
         chance = new Chance(config.seed ^ 0x5bd1e995L);
--- a/src/main/java/sprucerock/serving/Events.java
+++ b/src/main/java/sprucerock/serving/Events.java
@@ -18,13 +18,19 @@
 
     private static final Span EVERY = Span.ofMs(1000); // readable while it streams by, and a bound for disks
 
-    private final Logger log = LoggerFactory.getLogger("sprucerock.relay");
+    private final Logger log;
     private final Timers timers;
     private final Map<Kind, Moment> said = new EnumMap<>(Kind.class);
     private final Map<Kind, Integer> leftOut = new EnumMap<>(Kind.class);
 
     public Events(Timers timers) {
+        this(timers, LoggerFactory.getLogger("sprucerock.relay"));
+    }
+
+    /** Says it elsewhere. */
+    public Events(Timers timers, Logger log) {
         this.timers = timers;
+        this.log = log;
     }
 
     public void info(Kind kind, String text) {
