--- a/src/main/java/sprucerock/net/ScriptedNet.java
+++ b/src/main/java/sprucerock/net/ScriptedNet.java
@@ -52,6 +52,11 @@
         }
     }
 
+    /** Time passes, and nothing is done: as where the loop's thread got no processor. */
+    public void standStill(double ms) {
+        nowMs += ms;
+    }
+
     public void settle() {
         while (!timers.isEmpty() && timers.peek().whenMs <= nowMs + 1e-9) {
             Runnable what = timers.poll().what[0];
--- a/src/main/java/sprucerock/net/Timers.java
+++ b/src/main/java/sprucerock/net/Timers.java
@@ -1,6 +1,7 @@
 package sprucerock.net;
 
 import sprucerock.time.Moment;
+import sprucerock.time.Span;
 
 /** One thread's clock and what it is to do later. All that a loop runs, it runs on that one thread. */
 public interface Timers {
@@ -13,6 +14,21 @@
     /** Runs {@code what} once this turn's events are done, before anything is written. */
     void atTurnsEnd(Runnable what);
 
+    /**
+     * Runs {@code what} once others were waited for so long. Where this loop itself stood still, they are given the same time
+     * again: what they sent meanwhile is not heard yet, and their silence is not theirs.
+     */
+    default Timer patiently(Span time, Runnable what) {
+        Span late = Span.ofMs(5); // a loop that runs is a millisecond or two late
+        Timer[] current = new Timer[1];
+        Moment due = now().plus(time);
+        current[0] = at(due, () -> {
+            if (now().since(due).over(late)) current[0] = patiently(time, what);
+            else what.run();
+        });
+        return () -> current[0].cancel();
+    }
+
     /** Something that is still to be done. */
     interface Timer {
         /** Too late or twice does nothing. */
--- a/src/main/java/sprucerock/net/nio/NioLink.java
+++ b/src/main/java/sprucerock/net/nio/NioLink.java
@@ -11,7 +11,6 @@
 import sprucerock.net.Link;
 import sprucerock.net.LinkUser;
 import sprucerock.net.Timers.Timer;
-import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
 /** A connection over an asynchronous socket channel: one read and one gathered write out at a time. */
@@ -52,8 +51,8 @@
         onceClosed = what;
     }
 
-    void connect(InetSocketAddress to, Moment until) {
-        connecting = loop.at(until, () -> cut("no connection in time"));
+    void connect(InetSocketAddress to, Span within) {
+        connecting = loop.patiently(within, () -> cut("no connection in time"));
         try {
             channel.connect(to, null, new CompletionHandler<Void, Void>() {
                 @Override
--- a/src/main/java/sprucerock/net/nio/NioLoop.java
+++ b/src/main/java/sprucerock/net/nio/NioLoop.java
@@ -182,7 +182,7 @@
             none.cut("no socket: " + e.getMessage());
             return none;
         }
-        link.connect(to, now.plus(within));
+        link.connect(to, within);
         return link;
     }
 
--- a/src/main/java/sprucerock/platform/UnitDoor.java
+++ b/src/main/java/sprucerock/platform/UnitDoor.java
@@ -54,7 +54,7 @@
             return;
         }
         waiting.add(exchange);
-        exchange.waiting = doors.at(now().plus(doors.connectWithin()), () -> {
+        exchange.waiting = doors.patiently(doors.connectWithin(), () -> {
             if (waiting.remove(exchange)) doors.ended(exchange, Outcome.NOT_CONNECTED, new byte[0]);
         });
         if (opens) {
@@ -125,7 +125,7 @@
     }
 
     void within(Span time, Runnable what) {
-        doors.at(now().plus(time), what);
+        doors.patiently(time, what);
     }
 
     void spoilt(String why) {
--- a/src/main/java/sprucerock/platform/UnitDoors.java
+++ b/src/main/java/sprucerock/platform/UnitDoors.java
@@ -65,8 +65,8 @@
         return net.now();
     }
 
-    Timer at(Moment when, Runnable what) {
-        return net.at(when, what);
+    Timer patiently(Span time, Runnable what) {
+        return net.patiently(time, what);
     }
 
     Span connectWithin() {
@@ -87,7 +87,7 @@
     void open(UnitLink link, InetSocketAddress to) {
         open++;
         link.connecting(net.connect(to, connectWithin, UNSENT, link));
-        net.at(net.now().plus(connectWithin), () -> { // it may be connected, and never welcomed
+        net.patiently(connectWithin, () -> { // it may be connected, and never welcomed
             if (link.starting()) link.cut("no welcome in time");
         });
     }
