--- a/src/main/java/sprucerock/platform/ClientDoor.java
+++ b/src/main/java/sprucerock/platform/ClientDoor.java
@@ -33,16 +33,19 @@
     private final Events events;
     private final Owner owner;
     private final Map<String, Method> methods;
+    private final int enough;
     private final int most;
     private final Set<ClientLink> links = new LinkedHashSet<>();
     private final Map<String, ClientAsked> open = new HashMap<>();
     private Net.Listener listener;
 
-    ClientDoor(Net net, Events events, Owner owner, Map<String, Method> methods, int most) {
+    /** {@code enough}: beyond it quiet ones give way, so that clients with a bound of their own can come; {@code most} is never passed. */
+    ClientDoor(Net net, Events events, Owner owner, Map<String, Method> methods, int enough, int most) {
         this.net = net;
         this.events = events;
         this.owner = owner;
         this.methods = methods;
+        this.enough = enough;
         this.most = most;
     }
 
@@ -65,12 +68,13 @@
 
     /** It was taken. */
     void up(ClientLink link) {
-        if (links.size() > most) later(() -> makeRoom(link));
+        if (links.size() > enough) later(() -> makeRoom(link));
     }
 
     /**
-     * One that never spoke goes first, else the one on which nothing was asked for longest. Where all are being answered the
-     * newest goes, unless it has asked too: whose request was taken is never cut off.
+     * One that never spoke goes first, else the one on which nothing was asked for longest: guards against clients that ask
+     * once and stay, until others find no place. Where all are being answered and no more may come the newest goes, unless it
+     * has asked too: whose request was taken is never cut off.
      */
     private void makeRoom(ClientLink newest) {
         ClientLink goes = null;
@@ -79,7 +83,7 @@
             if (goes == null || link.never() && !goes.never() || link.never() == goes.never() && link.quietSince().ms() < goes.quietSince().ms()) goes = link;
         }
         if (goes != null) goes.close("too many connections");
-        else if (newest.quietFor(Span.ZERO)) newest.close("too many connections");
+        else if (links.size() > most && newest.quietFor(Span.ZERO)) newest.close("too many connections");
     }
 
     private void look() {
--- a/src/main/java/sprucerock/platform/Serving.java
+++ b/src/main/java/sprucerock/platform/Serving.java
@@ -28,6 +28,7 @@
     // of the descriptors a relay may hold: what the program itself, the list, the desk and the peers need
     private static final int OWN = 40;
     private static final double CLIENTS = 3.0 / 8; // usual ones hold a third at most; the rest is for the units
+    private static final double ENOUGH = 1.0 / 4; // some three in four of that third: quiet ones give way before clients run out
     private static final Span WAIT_FOR_LIST = Span.ofMs(1000); // the agent answers at once
     private static final Span STILL = Span.ofMs(600); // after it is told to end, new connections come for 400 ms at most
     // the kill comes no sooner than the longest deadline, counted as 3 s at most, and 0.7 s more
@@ -62,7 +63,7 @@
         Map<String, Method> methods = new HashMap<>();
         for (Method method : settings.methods) methods.put(config.methodNames.get(method.index), method);
         int forClients = (int) (config.sockets * CLIENTS);
-        clients = new ClientDoor(net, events, this, methods, forClients);
+        clients = new ClientDoor(net, events, this, methods, (int) (config.sockets * ENOUGH), forClients);
         units = new UnitDoors(net, events, this, config.sockets - forClients - OWN, config.idle, config.connectWithin);
         Moment unix = net.now().minus(Span.ofMs(unixMs));
         discovery = new Discovery(net, config, ledger, events, units, unix, chance::next, this::learnt, () -> module.listFailed());
