Quiet clients give way though no new one comes

Room was made only as a connection came, one for one, and clients that have reached their own bound (a third of the descriptors, 128) send none. At fault: ClientDoor.up as the only caller of makeRoom. Now the door looks every 100 ms, too. ClientDoorTest.

--- a/src/main/java/sprucerock/platform/ClientDoor.java
+++ b/src/main/java/sprucerock/platform/ClientDoor.java
@@ -24,7 +24,7 @@
     }
 
     private static final Span PATIENCE = Span.ofMs(2000); // a client that means it needs some milliseconds
-    private static final Span LOOK = Span.ofMs(250);
+    private static final Span LOOK = Span.ofMs(100);
     private static final Span SPEAKS = Span.ofMs(100); // who was just taken or answered may be about to ask
     private static final int SPARE = 8; // being closed, while new ones come
     private static final long UNSENT = 512 * 1024;
@@ -77,17 +77,25 @@
      * has asked too: whose request was taken is never cut off.
      */
     private void makeRoom(ClientLink newest) {
-        ClientLink goes = null;
-        for (ClientLink link : links) {
-            if (link == newest || !link.quietFor(SPEAKS)) continue;
-            if (goes == null || link.never() && !goes.never() || link.never() == goes.never() && link.quietSince().ms() < goes.quietSince().ms()) goes = link;
-        }
+        ClientLink goes = quietest(newest);
         if (goes != null) goes.close("too many connections");
         else if (links.size() > most && newest.quietFor(Span.ZERO)) newest.close("too many connections");
     }
 
+    private ClientLink quietest(ClientLink but) {
+        ClientLink found = null;
+        for (ClientLink link : links) {
+            if (link == but || !link.quietFor(SPEAKS)) continue;
+            if (found == null || link.never() && !found.never() || link.never() == found.never() && link.quietSince().ms() < found.quietSince().ms()) found = link;
+        }
+        return found;
+    }
+
     private void look() {
         for (ClientLink link : new ArrayList<>(links)) link.look(PATIENCE);
+        // not only as one comes: clients that have reached a bound of their own send none
+        int over = links.size() - enough;
+        for (ClientLink quiet = quietest(null); over > 0 && quiet != null; quiet = quietest(null), over--) quiet.close("too many connections");
         net.at(net.now().plus(LOOK), this::look);
     }
 
--- a/src/test/java/sprucerock/platform/ClientDoorTest.java
+++ b/src/test/java/sprucerock/platform/ClientDoorTest.java
@@ -140,6 +140,18 @@
         assertTrue(first.finished);
     }
 
+    /** Guards against a door that makes room only as one comes: clients that have reached a bound of their own send none. */
+    @Test
+    public void quietOnesGiveWayThoughNoneComes() throws Exception {
+        begin();
+        byte[] once = Writer.join(Writer.startup("svc", "main"), Writer.query(new byte[0]));
+        List<End> all = new ArrayList<>();
+        for (int i = 0; i < PLACES; i++) all.add(comes(once));
+        assertEquals(all.stream().filter(end -> end.finished).count(), 0);
+        net.pass(300);
+        assertTrue(all.stream().anyMatch(end -> end.finished));
+    }
+
     @Test
     public void whereAllAreBeingAnsweredTheNewestThatAskedNothingGivesWay() throws Exception {
         begin();
