--- a/src/main/java/sprucerock/platform/WarmUp.java
+++ b/src/main/java/sprucerock/platform/WarmUp.java
@@ -24,7 +24,7 @@
  * come. A relay that meets its first clients cold stands still for up to a second at half a core, and they for as long.
  */
 public final class WarmUp {
-    private static final int MOST = 300; // RPCs; the compiler takes what was called 200 times; 1,200 cost a start a fifth more time and gained nothing
+    private static final int MOST = 300; // RPCs; the compiler takes what was called 200 times; 1,200 cost a start a fifth more; gain not settled
     private static final long TIME_MS = 1500; // no more on a machine that is busy: late is worse than cold
     private static final int UNITS = 6;
 
