A relay finds a configuration that was replaced while it started; news goes by a build's way

At fault: ServeCommand read LB_CONFIG once and on SIGHUP only; Feed redialled the same address without end. Change: Serving has the file read again, aside from the loop, once clients are let in and whenever list or desk is lost (at most twice a second); only moved addresses move anything. Beside it, found while reading: Desk judged news by when a state began, from ages; the configuration's age is that of its file, so a state that began during a start was refused for good (test newsGoesByTheWayOfABuild, newsThatWasLongOnItsWay). Now by the build's way: stages, released, going back, withdrawn. The log tells HELD_UP, and FIGURES how long list and desk were silent.

--- a/src/main/java/sprucerock/cli/ServeCommand.java
+++ b/src/main/java/sprucerock/cli/ServeCommand.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicReference;
 import picocli.CommandLine.Command;
 import sprucerock.Policy;
@@ -32,6 +33,7 @@
         AtomicReference<Serving> serving = new AtomicReference<>();
         CountDownLatch ended = new CountDownLatch(1);
         AtomicReference<String> wrong = new AtomicReference<>();
+        Semaphore asks = new Semaphore(0);
         try {
             PlatformConfig config = PlatformConfig.read(System.getenv());
             Logs.to(Logs.Form.PLAIN);
@@ -42,14 +44,17 @@
             });
             loop.post(() -> {
                 try {
-                    serving.set(new Serving(config, loop, System.currentTimeMillis()));
+                    serving.set(new Serving(config, loop, System.currentTimeMillis(), asks::release));
                     serving.get().start(Policy::new);
                 } catch (IOException e) {
                     wrong.set("an address can't be listened at: " + e.getMessage());
                     ended.countDown();
                 }
             });
-            Signal.handle(new Signal("HUP"), signal -> reload(loop, serving));
+            Thread settings = new Thread(() -> readWhenAsked(asks, loop, serving), "settings");
+            settings.setDaemon(true);
+            settings.start();
+            Signal.handle(new Signal("HUP"), signal -> asks.release());
             Signal.handle(new Signal("TERM"), signal -> loop.post(() -> serving.get().finish(ended::countDown)));
             ended.await();
             if (wrong.get() == null) return Commands.DONE;
@@ -118,8 +123,17 @@
         public void closed(String why) {}
     }
 
+    /** The loop reads no files: a thread of its own does, for a signal and for a relay that has lost what it was told. */
+    private static void readWhenAsked(Semaphore asks, NioLoop loop, AtomicReference<Serving> serving) {
+        while (true) {
+            asks.acquireUninterruptibly();
+            asks.drainPermits(); // one reading answers all that asked before it
+            reload(loop, serving);
+        }
+    }
+
     private static void reload(NioLoop loop, AtomicReference<Serving> serving) {
-        try { // read on the signal's own thread: the loop reads no files
+        try {
             PlatformConfig anew = PlatformConfig.read(System.getenv());
             loop.post(() -> serving.get().reload(anew));
         } catch (ConfigException e) {
--- a/src/main/java/sprucerock/platform/Desk.java
+++ b/src/main/java/sprucerock/platform/Desk.java
@@ -38,7 +38,6 @@
     private static final Span FRESH = Span.ofMs(3000); // the platform closes what stands idle, after some ten seconds or less
     private static final int LINKS = 8; // of the 32 that the platform holds of a relay; votes are far fewer
     private static final Span SILENCE = Span.ofMs(3000); // a sign of life comes every second
-    private static final Span DISORDER = Span.ofMs(100); // what an age may stray by on its way
     private static final XMLInputFactory XML = XMLInputFactory.newDefaultFactory();
 
     static {
@@ -53,20 +52,23 @@
     private final Events events;
     private final Function<String, Unit> units;
     private final Consumer<Reply> answered;
+    private final Runnable lost;
     private final Feed feed;
     private final ArrayDeque<HttpLink> links = new ArrayDeque<>();
     private sprucerock.http.Events stream = new sprucerock.http.Events();
     private InetSocketAddress to;
     private int build = -1;
+    private int ranked;
     private Moment since;
 
     Desk(Net net, PlatformConfig config, Ledger ledger, Events events, DoubleSupplier dice, Function<String, Unit> units,
-        Consumer<Reply> answered) {
+        Consumer<Reply> answered, Runnable lost) {
         this.net = net;
         this.ledger = ledger;
         this.events = events;
         this.units = units;
         this.answered = answered;
+        this.lost = lost;
         settings = config.settings;
         methodNames = config.methodNames;
         to = config.desk;
@@ -87,11 +89,17 @@
         feed.dial();
     }
 
-    void move(InetSocketAddress there) {
-        if (there.equals(to)) return;
+    /** True where it was elsewhere before. */
+    boolean move(InetSocketAddress there) {
+        if (there.equals(to)) return false;
         to = there;
         feed.move(there);
         links.clear(); // what is open on them is still answered, and the platform closes them
+        return true;
+    }
+
+    Span silent() {
+        return feed.silent();
     }
 
     void stop() {
@@ -221,6 +229,7 @@
     @Override
     public void lost(String why) {
         events.warn(Events.Kind.DESK_LOST, why + "; what it said last holds");
+        lost.run();
     }
 
     private void event(String name, String data) throws HttpException {
@@ -257,6 +266,17 @@
         };
     }
 
+    /** How far a build is on its way, which goes one way only: stage by stage, released, going back, withdrawn. */
+    private int rank(Standing standing, int stage) {
+        int stages = settings.caps.size() + 1;
+        return switch (standing) {
+            case ON_TRIAL -> stage;
+            case RELEASED -> stages;
+            case GOING_BACK -> stages + 1;
+            case WITHDRAWN -> stages + 2;
+        };
+    }
+
     private void check(Form form) throws HttpException {
         form.whole("build", 65535);
         form.whole("stage", settings.caps.size());
@@ -269,11 +289,16 @@
         check(form);
         int number = form.whole("build", 65535);
         Moment began = net.now().minus(Span.ofMs(form.number("age_ms", 1e12)));
-        // guards against what was long on its way, as two connections tell news: a state that began before the known one
-        boolean old = number < build || number == build && since.since(began).over(DISORDER);
-        if (old) return;
+        int stage = form.whole("stage", settings.caps.size());
+        Standing standing = standing(form);
+        int rank = rank(standing, stage);
+        // guards against what was long on its way, as two connections tell news. Ages can't tell: what the configuration says of
+        // them is as old as its file, and a start takes seconds, so a state that began meanwhile would look like an older one
+        if (number < build || number == build && rank < ranked) return;
+        boolean same = number == build && rank == ranked;
+        if (!same || since.after(began)) since = began; // of one state the earliest beginning is the least delayed word
         build = number;
-        since = began;
-        ledger.news(number, form.whole("stage", settings.caps.size()), standing(form), form.number("cap", 1), began);
+        ranked = rank;
+        ledger.news(number, stage, standing, form.number("cap", 1), since);
     }
 }
--- a/src/main/java/sprucerock/platform/Discovery.java
+++ b/src/main/java/sprucerock/platform/Discovery.java
@@ -69,8 +69,13 @@
         feed.dial();
     }
 
-    void move(InetSocketAddress there) {
-        feed.move(there);
+    /** True where it was elsewhere before. */
+    boolean move(InetSocketAddress there) {
+        return feed.move(there);
+    }
+
+    Span silent() {
+        return feed.silent();
     }
 
     void stop() {
--- a/src/main/java/sprucerock/platform/Feed.java
+++ b/src/main/java/sprucerock/platform/Feed.java
@@ -8,6 +8,7 @@
 import sprucerock.http.HttpLink;
 import sprucerock.net.Net;
 import sprucerock.net.Pauses;
+import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
 /** Keeps one answer without end up: whenever it is gone or silent, it is asked for again, after a pause that grows. */
@@ -35,6 +36,7 @@
     private HttpLink link;
     private HttpLink before;
     private boolean stopped;
+    private Moment lastHeard;
 
     /** {@code silence}: a connection that tells nothing for so long is given up. */
     Feed(Net net, InetSocketAddress to, Supplier<String> path, Span silence, DoubleSupplier dice, Reader reader) {
@@ -43,6 +45,7 @@
         this.path = path;
         this.silence = silence;
         this.reader = reader;
+        lastHeard = net.now();
         pauses = new Pauses(FIRST, MOST, dice);
     }
 
@@ -84,6 +87,7 @@
 
             private void gone(String why) {
                 if (link != made || stopped) return;
+                silent();
                 link = null;
                 reader.lost(why);
                 net.at(net.now().plus(pauses.next()), () -> {
@@ -106,14 +110,21 @@
         before = null;
     }
 
-    /** It is told elsewhere from now on: the old connection is kept until the new one tells, but no longer heard. */
-    void move(InetSocketAddress there) {
-        if (there.equals(to) || stopped) return;
+    /** It is told elsewhere from now on, true where that is so: the old connection is kept until the new one tells, but no longer heard. */
+    boolean move(InetSocketAddress there) {
+        if (there.equals(to) || stopped) return false;
         to = there;
         leaveBefore();
         before = link;
         pauses.over();
         dial();
+        return true;
+    }
+
+    /** How long nothing has come; for as long as there is no connection, since the last one went. */
+    Span silent() {
+        if (link != null) lastHeard = link.heardLast().later(lastHeard);
+        return net.now().since(lastHeard);
     }
 
     void stop() {
--- a/src/main/java/sprucerock/platform/Serving.java
+++ b/src/main/java/sprucerock/platform/Serving.java
@@ -38,9 +38,14 @@
     private static final Span MARGIN = Span.ofMs(250); // before the kill; a loop under load is some 50 ms late
     private static final Span FIGURES = Span.ofMs(5000);
     private static final int DATAGRAM = 256;
+    private static final Span BEAT = Span.ofMs(50); // how late it comes tells how far the loop is behind
+    private static final Span ASK_AGAIN = Span.ofMs(500); // for a file on the own machine; the old addresses end within 1.5 s
+    private static final Span HELD_UP = Span.ofMs(300); // the rules forgive less
 
     private final PlatformConfig config;
     private final Chance chance;
+    private final Runnable askSettings;
+    private Moment askedSettings;
     private final UnitDoors units;
     private final ClientDoor clients;
     private final Discovery discovery;
@@ -50,14 +55,18 @@
     private boolean taking;
     private boolean finishing;
 
-    /** {@code unixMs}: the wall's clock now, in milliseconds of Unix time. */
-    public Serving(PlatformConfig config, Net net, double unixMs) {
-        this(config, net, unixMs, new Events(net));
+    /**
+     * {@code unixMs}: the wall's clock now, in milliseconds of Unix time; {@code askSettings} has the configuration read again, aside
+     * from the loop: what comes of it is told by {@link #reload} or {@link #notReloaded}.
+     */
+    public Serving(PlatformConfig config, Net net, double unixMs, Runnable askSettings) {
+        this(config, net, unixMs, askSettings, new Events(net));
     }
 
-    Serving(PlatformConfig config, Net net, double unixMs, Events events) {
+    Serving(PlatformConfig config, Net net, double unixMs, Runnable askSettings, Events events) {
         super(net, config.settings, new Ledger(config.settings), events);
         this.config = config;
+        this.askSettings = askSettings;
         // the doors' dice, apart from the module's, whose draws must not depend on links
         chance = new Chance(config.seed ^ 0x5bd1e995L);
         Map<String, Method> methods = new HashMap<>();
@@ -66,8 +75,8 @@
         clients = new ClientDoor(net, events, this, methods, (int) (config.sockets * ENOUGH), forClients);
         units = new UnitDoors(net, events, this, config.sockets - forClients - OWN, config.idle, config.connectWithin);
         Moment unix = net.now().minus(Span.ofMs(unixMs));
-        discovery = new Discovery(net, config, ledger, events, units, unix, chance::next, this::learnt, () -> module.listFailed());
-        desk = new Desk(net, config, ledger, events, chance::next, discovery::unit, reply -> module.voteAnswered(reply));
+        discovery = new Discovery(net, config, ledger, events, units, unix, chance::next, this::learnt, this::listLost);
+        desk = new Desk(net, config, ledger, events, chance::next, discovery::unit, reply -> module.voteAnswered(reply), this::askSettings);
         for (int i = 0; i < config.peers.size(); i++) peers.put(config.peers.get(i), i);
     }
 
@@ -85,32 +94,59 @@
         desk.start(config.news);
         net.at(net.now().plus(WAIT_FOR_LIST), () -> letClientsIn("without discovery, which did not answer in time"));
         net.at(net.now().plus(FIGURES), this::figures);
+        beat(net.now());
+    }
+
+    /** Says when the loop stood still, and for how long: whatever came meanwhile was acted on that late. */
+    private void beat(Moment due) {
+        Span late = net.now().since(due);
+        if (late.over(HELD_UP)) events.warn(Events.Kind.HELD_UP, "for " + Math.round(late.ms()) + " ms; " + ledger.open() + " RPCs are open");
+        Moment next = net.now().plus(BEAT);
+        net.at(next, () -> beat(next));
     }
 
     private void learnt() {
         letClientsIn("with a list");
     }
 
+    private void listLost() {
+        module.listFailed();
+        askSettings();
+    }
+
+    /**
+     * Guards against a configuration that was replaced unnoticed: while this relay started, as no signal comes before it is ready, or
+     * by a signal that was lost. Else it would go on by a list that nobody tells any more, to units long gone.
+     */
+    private void askSettings() {
+        Moment now = net.now();
+        if (finishing || askedSettings != null && !now.since(askedSettings).over(ASK_AGAIN)) return;
+        askedSettings = now;
+        askSettings.run();
+    }
+
     private void letClientsIn(String how) {
         if (taking || finishing) return;
         taking = true;
         clients.take();
         events.info(Events.Kind.STARTED, "relay " + config.name + ", number " + settings.index + " of " + settings.relays
             + ", listens at " + config.listen + ", " + how);
+        askSettings();
     }
 
     private void figures() {
         Runtime machine = Runtime.getRuntime();
         events.info(Events.Kind.FIGURES, "open " + ledger.open() + " known " + ledger.known() + " clients " + clients.size() + " to-units " + units.open()
-            + " units " + ledger.units().size() + " heap-kb " + (machine.totalMemory() - machine.freeMemory()) / 1024);
+            + " units " + ledger.units().size() + " heap-kb " + (machine.totalMemory() - machine.freeMemory()) / 1024
+            + " list-silent-ms " + Math.round(discovery.silent().ms()) + " desk-silent-ms " + Math.round(desk.silent().ms()));
         net.at(net.now().plus(FIGURES), this::figures);
     }
 
     /** A new configuration: the addresses of discovery and desk are taken over, the rest holds from the start. */
     public void reload(PlatformConfig anew) {
-        events.info(Events.Kind.SETTINGS, "discovery is at " + anew.discovery + ", the desk at " + anew.desk);
-        discovery.move(anew.discovery);
-        desk.move(anew.desk);
+        boolean moves = discovery.move(anew.discovery);
+        moves |= desk.move(anew.desk);
+        if (moves) events.info(Events.Kind.SETTINGS, "discovery is at " + anew.discovery + ", the desk at " + anew.desk);
     }
 
     /** A new configuration can't be used; the old one holds. */
--- a/src/main/java/sprucerock/platform/WarmUp.java
+++ b/src/main/java/sprucerock/platform/WarmUp.java
@@ -70,7 +70,7 @@
         net.listen(at(200), 10, 1 << 20, () -> new Teller("{\"version\":5,\"full\":false,\"servers\":[]}\n"));
         net.listen(at(500), 10, 1 << 20, () -> new Teller("event: counts\ndata: build=7&class=look&count=57&failed=2&mean_ms=18.5&age_ms=900\n\n"));
         byte[] config = CONFIG.formatted(servers).getBytes(StandardCharsets.UTF_8);
-        Serving serving = new Serving(PlatformConfig.of(Path.of("warm"), config, Map.of()), net, 5000, new Events(net, NOPLogger.NOP_LOGGER));
+        Serving serving = new Serving(PlatformConfig.of(Path.of("warm"), config, Map.of()), net, 5000, () -> { }, new Events(net, NOPLogger.NOP_LOGGER));
         net.turn(() -> {
             try {
                 serving.start(maker);
--- a/src/test/java/sprucerock/platform/PlatformTest.java
+++ b/src/test/java/sprucerock/platform/PlatformTest.java
@@ -211,6 +211,8 @@
         }
     }
 
+    private int settingsAsked;
+
     @BeforeMethod
     public void start() throws Exception {
         net = new ScriptedNet(1000, 1);
@@ -218,10 +220,11 @@
         discovery.clear();
         desk.clear();
         closed = 0;
+        settingsAsked = 0;
         for (int port : new int[] {300, 301}) net.listen(address(port), 1000, 1 << 20, FakeUnit::new);
         net.listen(address(200), 10, 1 << 20, () -> keep(discovery));
         net.listen(address(500), 40, 1 << 20, () -> keep(desk));
-        serving = new Serving(config(128, 500, entry("s-1", 300, "SERVING", 7) + "," + entry("s-2", 301, "SERVING", 7)), net, 5000);
+        serving = new Serving(config(128, 500, entry("s-1", 300, "SERVING", 7) + "," + entry("s-2", 301, "SERVING", 7)), net, 5000, () -> settingsAsked++);
         net.turn(() -> {
             try {
                 serving.start(Policy::new);
@@ -516,6 +519,48 @@
         assertEquals(desk.size(), before + 1);
     }
 
+    /** Guards against a relay that goes on by an old list as nobody told it where the new one is. */
+    @Test
+    public void whoeverLosesListOrDeskReadsItsConfigurationAgain() throws Exception {
+        int asked = settingsAsked;
+        assertEquals(asked, 1); // as it took clients: the file may have been replaced since it was read
+        net.pass(600);
+        net.turn(() -> discovery.get(0).link.cut("the address is none any more"));
+        net.pass(10);
+        assertEquals(settingsAsked, asked + 1);
+        net.listen(address(501), 40, 1 << 20, () -> keep(desk));
+        PlatformConfig anew = config(128, 501, "");
+        net.turn(() -> serving.reload(anew));
+        net.pass(600);
+        int before = desk.size();
+        net.turn(() -> serving.reload(anew)); // the same once more moves nothing
+        net.settle();
+        assertEquals(desk.size(), before);
+        net.turn(() -> desk.get(before - 1).link.cut("gone"));
+        net.pass(10);
+        assertEquals(settingsAsked, asked + 2);
+    }
+
+    /** A state that began while the relay started looked older than the one in its configuration, whose age is that of a file. */
+    @Test
+    public void newsGoesByTheWayOfABuildAndNotByAges() {
+        desk.get(0).chunk("event: news\ndata: build=8&stage=0&phase=Progressing&cap=0.1&age_ms=0\n\n");
+        net.pass(400);
+        desk.get(0).chunk("event: news\ndata: build=8&stage=1&phase=Progressing&cap=1.0&age_ms=900\n\n"); // began before that came
+        discovery.get(0).chunk("{\"version\":5,\"full\":false,\"servers\":[" + entry("s-3", 300, "SERVING", 8).replace("\"started_ms\":0", "\"started_ms\":1000") + "]}\n");
+        net.pass(9000);
+        assertTrue(desk.stream().anyMatch(call -> call.heard.toString().contains("build=8&stage=1&verdict=PROCEED")));
+    }
+
+    @Test
+    public void newsThatWasLongOnItsWayBringsNoBuildBackOnTrial() {
+        desk.get(0).chunk("event: news\ndata: build=8&stage=1&phase=Aborting&cap=0&age_ms=100\n\n");
+        desk.get(0).chunk("event: news\ndata: build=8&stage=1&phase=Progressing&cap=1.0&age_ms=0\n\n");
+        discovery.get(0).chunk("{\"version\":5,\"full\":false,\"servers\":[" + entry("s-3", 300, "SERVING", 8).replace("\"started_ms\":0", "\"started_ms\":1000") + "]}\n");
+        net.pass(9000);
+        assertTrue(desk.stream().noneMatch(call -> call.heard.toString().contains("PROCEED")));
+    }
+
     /** Guards against an end that takes all connections from clients at once, while other relays may be out too. */
     @Test
     public void toldToEndItServesOnForAWhileAndAnswersAllBeforeTheKill() {
