--- a/src/main/antlr4/sprucerock/rehearsal/Day.g4
+++ b/src/main/antlr4/sprucerock/rehearsal/Day.g4
@@ -26,6 +26,7 @@
   | 'clients' INT 'retries' retries=INT 'after' SPAN ('impatient' PERCENT)?                 # clients
   | 'tls' everyone='everyone'? ('look' look=SPAN)? ('move' move=SPAN)? ('handshakes' INT '/s')? # tls
   | 'controller' 'real'                                                                     # realController
+  | 'agents' 'watch' SPAN                                                                   # agents
   | 'at' SPAN trouble                                                                       # at
   ;
 
@@ -48,6 +49,8 @@
   | 'counts' 'late' late=SPAN 'for' length=SPAN                                             # countsLate
   | 'zone' INT 'link' late=SPAN ('losing' PERCENT)? 'for' length=SPAN                       # zoneLink
   | 'controller' how=('killed' | 'stalls') 'for' SPAN                                       # controllerIll
+  | 'change' ('settings' settings=STRING)? ('program' program=STRING)?                     # change
+  | 'agent' INT 'killed' 'for' SPAN                                                        # agentIll
   | 'certificates' 'rotate'                                                                 # rotate
   | 'trust' 'rotates' 'within' SPAN                                                         # trustRotates
   | 'clients' 'rude' 'for' SPAN                                                             # rude
--- /dev/null
+++ b/src/main/java/sprucerock/agent/Station.java
@@ -0,0 +1,287 @@
+package sprucerock.agent;
+
+import com.google.protobuf.MessageLite;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sprucerock.change.Version;
+import sprucerock.net.nio.NioLoop;
+import sprucerock.stats.Chance;
+import sprucerock.time.Span;
+import sprucerock.versions.Vault;
+import sprucerock.wire.FrameLink;
+import sprucerock.wire.FrameUser;
+import sprucerock.wire.Kind;
+import sprucerock.wire.Limits;
+import sprucerock.wire.Redial;
+import sprucerock.wire.Tap;
+import sprucerock.wire.v1.AgentSays;
+import sprucerock.wire.v1.Failure;
+import sprucerock.wire.v1.Fetch;
+import sprucerock.wire.v1.Hello;
+import sprucerock.wire.v1.Piece;
+import sprucerock.wire.v1.Readable;
+import sprucerock.wire.v1.RelaySums;
+import sprucerock.wire.v1.Role;
+import sprucerock.wire.v1.Wants;
+
+/**
+ * An agent at work: its core between this machine and the controllers, of which only one speaks at a time. One loop owns all of it.
+ * What can't be told is told when somebody listens again; the relay runs on meanwhile.
+ */
+public final class Station {
+    private static final Limits LIMITS = new Limits(1 << 20, 4 << 20, Span.ofMs(1000));
+    private static final int MOST_FAILURES = 20; // that wait for a controller; of more the oldest go, and the log has them
+    private static final Span ASK_AGAIN = Span.ofMs(5000); // a piece that has not come: the controller may have gone meanwhile
+
+    private final Logger log = LoggerFactory.getLogger("sprucerock.agent");
+    private final AgentConfig config;
+    private final NioLoop loop;
+    private final Vault vault;
+    private final Here here;
+    private final Agent agent;
+    private final List<Redial> links = new ArrayList<>();
+    private final Deque<Failure> failures = new ArrayDeque<>();
+    /** Those that a controller was told, which it may have lost: the next one is told again, and takes them for what they are. */
+    private final Deque<Failure> told = new ArrayDeque<>();
+    private final Deque<Readable> readables = new ArrayDeque<>();
+    private Version fetching;
+    private Vault.Incoming incoming;
+    private String incomingDigest;
+    private long asked;
+    private long toCheck;
+    private Version checks;
+    private boolean marked;
+
+    /** @throws IOException if its folder can't be had */
+    public Station(AgentConfig config, NioLoop loop) throws IOException {
+        this.config = config;
+        this.loop = loop;
+        java.nio.file.Files.createDirectories(config.folder);
+        vault = new Vault(config.folder.resolve("versions"), config.mostBytes);
+        here = new Here(config, loop, vault, this::changed, this::failed, new Here.Consumers() {
+            @Override
+            public void fetch(Version version) {
+                Station.this.fetch(version);
+            }
+
+            @Override
+            public void readThrough(Version version, String refusal) {
+                checked(version, refusal);
+            }
+        });
+        agent = new Agent(here, config.times, here.remembered());
+        here.serves(agent);
+    }
+
+    /** On the loop. */
+    public void start() {
+        Hello mine = Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.AGENT).setNumber(config.number).setName(config.name).build();
+        Chance chance = new Chance(config.number);
+        for (InetSocketAddress to : config.controllers) {
+            Door door = new Door(to);
+            Redial link = new Redial(loop, to, mine, LIMITS, Tap.NONE, chance, door);
+            door.link = link;
+            links.add(link);
+        }
+        here.adopt();
+        agent.begin();
+        if (config.program != null) {
+            try {
+                agent.offered(new Version(vault.put(config.program), vault.put(config.settings)));
+            } catch (IOException e) {
+                here.log("what it is to begin with can't be read: " + e.getMessage());
+            }
+        }
+        links.forEach(Redial::dial);
+        // from the number, so that a thousand agents that were started together do not speak together
+        loop.at(loop.now().plus(config.sayEvery.times(chance.next())), this::now);
+    }
+
+    private void now() {
+        tell();
+        if (fetching != null && ++asked * config.sayEvery.ms() > ASK_AGAIN.ms()) ask();
+        loop.at(loop.now().plus(config.sayEvery), this::now);
+    }
+
+    private void changed() {
+        if (marked) return;
+        marked = true;
+        loop.atTurnsEnd(() -> {
+            marked = false;
+            tell();
+        });
+    }
+
+    private void failed(Version version, String how) {
+        if (failures.size() >= MOST_FAILURES) failures.removeFirst();
+        failures.addLast(Failure.newBuilder().setProgram(version.program()).setSettings(version.settings()).setHow(how).build());
+        changed();
+    }
+
+    private void tell() {
+        RelaySums sums = here.sums();
+        Redial link = links.stream().filter(Redial::usable).findFirst().orElse(null);
+        if (link == null) return;
+        AgentSays.Builder says = AgentSays.newBuilder().setZone(config.zone).setProgram(agent.runs().program()).setSettings(agent.runs().settings()).setReady(agent.ready())
+            .setDone(agent.done()).setEpoch(agent.epoch()).setLife(here.life()).setStarts(agent.starts()).setCores(config.cores).addAllFailures(failures)
+            .addAllReadables(readables);
+        if (sums != null) says.setSums(sums);
+        told.addAll(failures);
+        while (told.size() > MOST_FAILURES) told.removeFirst();
+        failures.clear();
+        readables.clear();
+        for (Redial one : links) if (one.usable()) one.send(Kind.AGENT, says.build(), new byte[0]);
+    }
+
+    // What is missing is fetched, a piece at a time.
+
+    private void fetch(Version version) {
+        fetching = version;
+        nextFile();
+    }
+
+    private void nextFile() {
+        String missing = !vault.has(fetching.settings()) ? fetching.settings() : !vault.has(fetching.program()) ? fetching.program() : null;
+        if (missing == null) {
+            Version whole = fetching;
+            fetching = null;
+            trim(whole);
+            if (whole.equals(checks)) here.readThrough(whole);
+            agent.fetched(whole);
+            return;
+        }
+        try {
+            incoming = vault.incoming(missing);
+            incomingDigest = missing;
+            ask();
+        } catch (IOException e) {
+            notFetched(e.getMessage());
+        }
+    }
+
+    private void trim(Version whole) {
+        Set<String> needed = new HashSet<>();
+        for (Version one : new Version[] {whole, agent.memory().good(), agent.memory().wanted(), agent.runs()}) {
+            needed.add(one.program());
+            needed.add(one.settings());
+        }
+        try {
+            vault.trim(needed, 2 * config.versions);
+        } catch (IOException | java.io.UncheckedIOException e) {
+            here.log("old versions can't be deleted: " + e.getMessage());
+        }
+    }
+
+    private void ask() {
+        asked = 0;
+        Fetch fetch = Fetch.newBuilder().setDigest(incomingDigest).setFrom(incoming.from()).build();
+        for (Redial one : links) if (one.usable()) one.send(Kind.FETCH, fetch, new byte[0]);
+    }
+
+    private void piece(Piece head, byte[] body) {
+        if (fetching == null || !head.getDigest().equals(incomingDigest) || head.getFrom() != incoming.from()) return; // asked for twice
+        if (head.getMissing()) {
+            notFetched("the controller has it not");
+            return;
+        }
+        try {
+            if (incoming.add(head.getFrom(), body, head.getSize())) nextFile();
+            else ask();
+        } catch (IOException e) {
+            notFetched(e.getMessage());
+        }
+    }
+
+    private void notFetched(String why) {
+        Version gone = fetching;
+        fetching = null;
+        if (gone.equals(checks)) checked(gone, why);
+        agent.notFetched(gone, why);
+    }
+
+    private void checked(Version version, String refusal) {
+        if (!version.equals(checks)) return;
+        checks = null;
+        readables.addLast(Readable.newBuilder().setChange(toCheck).setRefusal(refusal).build());
+        if (!refusal.isEmpty()) here.log("change " + toCheck + " can't be run here: " + refusal);
+        changed();
+    }
+
+    /** The agent ends, its relay first; {@code done} is told on the loop. */
+    public void stop(Runnable done) {
+        agent.stop();
+        wait(done);
+    }
+
+    private void wait(Runnable done) {
+        if (!agent.stoppedWhole()) {
+            loop.at(loop.now().plus(Span.ofMs(20)), () -> wait(done));
+            return;
+        }
+        links.forEach(Redial::stop);
+        done.run();
+    }
+
+    /** A controller's end of a link. */
+    private final class Door implements FrameUser {
+        private final InetSocketAddress to;
+        private Redial link;
+        private boolean up;
+
+        Door(InetSocketAddress to) {
+            this.to = to;
+        }
+
+        @Override
+        public void greeted(FrameLink made, Hello other) {
+            if (other.getRole() != Role.DESK) {
+                made.cut("no controller");
+                return;
+            }
+            up = true;
+            told.descendingIterator().forEachRemaining(failures::addFirst);
+            told.clear();
+            log.info("CONTROLLER at {} is heard", to);
+            changed();
+            if (fetching != null) ask();
+        }
+
+        @Override
+        public void frame(Kind kind, MessageLite head, byte[] body) {
+            if (kind == Kind.PIECE) {
+                piece((Piece) head, body);
+            } else if (kind == Kind.WANTS) {
+                wants((Wants) head);
+            } else {
+                link.cut("an agent takes no " + kind);
+            }
+        }
+
+        private void wants(Wants wants) {
+            try {
+                if (!wants.getProgram().isEmpty()) agent.wants(wants.getEpoch(), wants.getTurn(), new Version(wants.getProgram(), wants.getSettings()));
+                if (wants.getChange() == 0 || wants.getEpoch() < agent.epoch()) return;
+                checks = new Version(wants.getCheckProgram(), wants.getCheckSettings());
+                toCheck = wants.getChange();
+                if (here.has(checks)) here.readThrough(checks);
+                else if (fetching == null) fetch(checks);
+            } catch (IllegalArgumentException e) {
+                link.cut(e.getMessage());
+            }
+        }
+
+        @Override
+        public void closed(String why) {
+            if (up) log.warn("CONTROLLER at {} is lost: {}; the relay runs on", to, why);
+            up = false;
+        }
+    }
+}
--- a/src/main/java/sprucerock/cli/RelayCommand.java
+++ b/src/main/java/sprucerock/cli/RelayCommand.java
@@ -1,6 +1,7 @@
 package sprucerock.cli;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.Callable;
@@ -10,6 +11,7 @@
 import picocli.CommandLine.Option;
 import sprucerock.Policy;
 import sprucerock.config.ConfigException;
+import sprucerock.config.Live;
 import sprucerock.config.RelayConfig;
 import sprucerock.figures.Export;
 import sprucerock.figures.Keeper;
@@ -20,6 +22,7 @@
 import sprucerock.tls.Workers;
 import sprucerock.trace.TraceWriter;
 import sprucerock.wire.Tap;
+import sun.misc.Signal;
 
 @Command(name = "relay", mixinStandardHelpOptions = true,
     description = "Runs a relay until it is told to end (SIGTERM or SIGINT): then every open RPC gets its answer first.")
@@ -39,10 +42,27 @@
         return days == null ? Map.of() : Map.of("tls_days_left", days.doubleValue(), "tls_files_broken", relay.tlsBroken() ? 1.0 : 0.0);
     }
 
+    private volatile String inForce;
+
+    /** Read on the signal's own thread, whole or not at all: the loop reads no files. */
+    private void reload(NioLoop loop, Relay relay) {
+        try {
+            RelayConfig anew = RelayConfig.read(file);
+            String text = Files.readString(file);
+            java.util.List<String> restart = Live.needRestart(inForce, text);
+            if (!restart.isEmpty()) throw new ConfigException(file + ": " + restart + " can't be taken over without a restart");
+            inForce = text;
+            loop.post(() -> relay.reload(anew));
+        } catch (ConfigException | IOException e) {
+            loop.post(() -> relay.notReloaded(e.getMessage()));
+        }
+    }
+
     @Override
     public Integer call() throws Exception {
         if (!form.equals("plain") && !form.equals("json")) throw new ConfigException("--log is plain or json, not " + form);
         RelayConfig config = RelayConfig.read(file);
+        inForce = Files.readString(file);
         Logs.to(form.equals("json") ? Logs.Form.JSON : Logs.Form.PLAIN);
         AtomicReference<Relay> relay = new AtomicReference<>();
         CountDownLatch ended = new CountDownLatch(1);
@@ -84,6 +104,7 @@
                 throw new IOException(config.scrapedAt + " can't be scraped at: " + e.getMessage());
             }
         }
+        Signal.handle(new Signal("HUP"), signal -> reload(loop, relay.get()));
         Thread stopper = new Thread(() -> {
             loop.post(() -> relay.get().finish(() -> {
                 keeper.get().close();
--- a/src/main/java/sprucerock/cli/ReleaseCommand.java
+++ b/src/main/java/sprucerock/cli/ReleaseCommand.java
@@ -1,16 +1,8 @@
 package sprucerock.cli;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -20,9 +12,6 @@
 @Command(name = "release", mixinStandardHelpOptions = true,
     description = "Asks a running controller, or tells it an operator's word. Exit code 1: it has no effect; 3: nobody answers.")
 final class ReleaseCommand implements Callable<Integer> {
-    private static final Duration PATIENCE = Duration.ofSeconds(10);
-    private static final JsonMapper JSON = JsonMapper.builder().build();
-
     @Parameters(index = "0", paramLabel = "ACTION", description = "list, show, announce, hold, resume or withdraw")
     private String action;
 
@@ -51,25 +40,16 @@
         if (!list && build == null) throw new ConfigException(action + " needs a build's number");
         if (action.equals("announce") && artifact == null) throw new ConfigException("announce needs --artifact");
         if (action.matches("hold|resume|withdraw") && reason == null) throw new ConfigException(action + " needs --reason");
-        ObjectNode body = JSON.createObjectNode();
+        ObjectNode body = OperatorApi.JSON.createObjectNode();
         if (action.equals("announce")) body.put("build", build).put("artifact", artifact).put("who", who);
         else body.put("who", who).put("reason", reason);
-        HttpRequest.Builder request = HttpRequest.newBuilder().timeout(PATIENCE).header("Authorization", "Bearer " + Files.readString(token).strip());
         String path = list || action.equals("announce") ? "/releases" : action.equals("show") ? "/releases/" + build : "/releases/" + build + "/" + action;
-        if (list || action.equals("show")) request.GET();
-        else request.POST(HttpRequest.BodyPublishers.ofString(body.toString()));
-        HttpResponse<String> answer;
-        try {
-            answer = HttpClient.newBuilder().connectTimeout(PATIENCE).build().send(request.uri(URI.create(at).resolve(path)).build(), HttpResponse.BodyHandlers.ofString());
-        } catch (IOException e) {
-            throw new IOException(at + ": no controller answers there: " + e);
-        }
+        OperatorApi.Answer answer = new OperatorApi(at, token).ask(path, list || action.equals("show") ? null : body);
         print(answer.body());
-        return answer.statusCode() < 300 ? Commands.DONE : Commands.WANTING;
+        return answer.status() < 300 ? Commands.DONE : Commands.WANTING;
     }
 
-    private void print(String body) throws IOException {
-        JsonNode node = JSON.readTree(body);
+    private void print(JsonNode node) {
         if (!node.has("releases")) {
             System.out.println(node.toPrettyString());
             return;
--- a/src/main/java/sprucerock/config/RelayConfig.java
+++ b/src/main/java/sprucerock/config/RelayConfig.java
@@ -119,9 +119,8 @@
         TreeMap<Integer, InetSocketAddress> found = new TreeMap<>();
         for (Node peer : root.all("peer")) {
             int other = peer.count("number");
-            if (other == number || other >= settings.relays) {
-                throw peer.wrong("number " + other + ": allowed are 0 to " + (settings.relays - 1) + " but for the own, " + number);
-            }
+            if (other >= settings.relays) throw peer.wrong("number " + other + ": allowed are 0 to " + (settings.relays - 1));
+            if (other == number) continue; // one list can serve a whole fleet
             if (found.put(other, address(peer)) != null) throw peer.wrong("number " + other + " is named twice");
         }
         peers = Collections.unmodifiableMap(found);
--- a/src/main/java/sprucerock/controller/Codec.java
+++ b/src/main/java/sprucerock/controller/Codec.java
@@ -1,6 +1,7 @@
 package sprucerock.controller;
 
 import java.util.Locale;
+import sprucerock.change.Changes;
 import sprucerock.controller.v1.Ballot;
 import sprucerock.controller.v1.Delivery;
 import sprucerock.controller.v1.Input;
@@ -13,10 +14,10 @@
     private Codec() {}
 
     /** What an input came to, for whoever brought it: an {@code Answer}, a {@code Taken}, an operator's refusal, or null. */
-    static Object apply(Releases core, Input input) {
+    static Object apply(Releases core, Changes changes, Input input) {
         Moment now = Moment.ofMs(input.getAtMs());
         long wall = input.getWallMs();
-        return switch (input.getWhatCase()) {
+        Object answer = switch (input.getWhatCase()) {
             case ANNOUNCED -> core.announced(input.getAnnounced().getDelivery(), input.getAnnounced().getBuild(), input.getAnnounced().getArtifact(),
                 input.getAnnounced().getSource(), now, wall);
             case CAST -> core.cast(input.getCast().getRelay(), input.getCast().getBuild(), input.getCast().getStage(),
@@ -29,23 +30,30 @@
             }
             case TICK -> {
                 core.tick(now, wall);
+                changes.tick(now, wall);
                 yield null;
             }
             case RESTARTED -> {
                 core.restarted(input.getRestarted().getDownMs(), now, wall);
+                changes.restarted(Span.ofMs(Math.max(0, input.getRestarted().getDownMs())), now, wall);
                 yield null;
             }
             case DELIVERED -> {
                 core.delivered(input.getDelivered().getSequence());
                 yield null;
             }
-            default -> throw new IllegalArgumentException("an input of an unknown kind, written by a newer controller");
+            default -> ChangeCodec.apply(changes, input);
         };
+        // relays that judge a build are not restarted meanwhile
+        Release.Standing standing = core.present.standing;
+        boolean releasing = standing == Release.Standing.STARTING || standing == Release.Standing.ON_TRIAL || standing == Release.Standing.GOING_BACK;
+        if (releasing != changes.releasing()) changes.releasing(releasing, now, wall);
+        return answer;
     }
 
-    static State write(Releases core, long atMs) {
+    static State write(Releases core, Changes changes, long atMs) {
         State.Builder state = State.newBuilder().setAtMs(atMs).setSequence(core.sequence).setDelivered(core.delivered).setPresent(core.present.build)
-            .setEarlier(core.earlier).setEpoch(core.epoch);
+            .setEarlier(core.earlier).setEpoch(core.epoch).setChanges(ChangeCodec.write(changes));
         for (Release one : core.releases.values()) {
             sprucerock.controller.v1.Release.Builder release = sprucerock.controller.v1.Release.newBuilder().setBuild(one.build).setArtifact(one.artifact)
                 .setStanding(one.standing.name()).setStage(one.stage).setSinceMs(ms(one.since)).setHeldMs((long) one.heldFor.ms()).setHeld(one.held)
@@ -75,7 +83,8 @@
         return Math.round(moment.ms());
     }
 
-    static void read(State state, Releases core) {
+    static void read(State state, Releases core, Changes changes) {
+        ChangeCodec.read(state.getChanges(), changes);
         core.releases.clear();
         core.sequence = state.getSequence();
         core.delivered = state.getDelivered();
--- a/src/main/java/sprucerock/controller/Engine.java
+++ b/src/main/java/sprucerock/controller/Engine.java
@@ -5,6 +5,10 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import sprucerock.change.Change;
+import sprucerock.change.Changes;
+import sprucerock.change.Plan;
+import sprucerock.change.Relay;
 import sprucerock.controller.v1.Input;
 import sprucerock.controller.v1.Restarted;
 import sprucerock.controller.v1.State;
@@ -12,7 +16,7 @@
 import sprucerock.time.Moment;
 
 /**
- * The releases with their memory: what comes in a turn goes to the disk together, and only then happens and is answered. So nothing
+ * The releases, and the changes of what relays run, with their memory: what comes in a turn goes to the disk together, and only then happens and is answered. So nothing
  * is ever told that a crash could take back. One thread, which waits for the disk.
  */
 public final class Engine {
@@ -35,6 +39,7 @@
     private final Clock clock;
     private final Consumer<String> say;
     private final Releases core;
+    private final Changes changes;
     private final List<Waiting> waiting = new ArrayList<>();
     private boolean replaying = true;
     private long lastAtMs;
@@ -46,18 +51,31 @@
     private boolean lost;
 
     /** {@code say} is told in one line what is the matter with the disk. */
-    Engine(Disk disk, int snapshotEvery, Rules rules, int places, int first, Clock clock, Releases.Host host, Consumer<String> say) {
+    Engine(Disk disk, int snapshotEvery, Rules rules, int places, int first, Plan plan, Clock clock, Releases.Host host,
+        Changes.Host ofChanges, Consumer<String> say) {
         store = new Store(disk, snapshotEvery);
         this.clock = clock;
         this.say = say;
         core = new Releases(rules, places, first, Moment.ofMs(0), (release, step) -> {
             if (!replaying) host.changed(release, step);
         });
+        changes = new Changes(plan, new Changes.Host() {
+            @Override
+            public void changed(Change change, Change.Step step) {
+                if (!replaying) ofChanges.changed(change, step);
+            }
+
+            @Override
+            public void wants(Relay relay) {
+                if (!replaying) ofChanges.wants(relay);
+            }
+        });
     }
 
     /** One that keeps its files in a folder of the machine's. */
-    public static Engine in(java.nio.file.Path folder, Rules rules, int places, int first, Clock clock, Releases.Host host, Consumer<String> say) throws IOException {
-        return new Engine(new FileDisk(folder), SNAPSHOT_EVERY, rules, places, first, clock, host, say);
+    public static Engine in(java.nio.file.Path folder, Rules rules, int places, int first, Plan plan, Clock clock, Releases.Host host, Changes.Host ofChanges,
+        Consumer<String> say) throws IOException {
+        return new Engine(new FileDisk(folder), SNAPSHOT_EVERY, rules, places, first, plan, clock, host, ofChanges, say);
     }
 
     /**
@@ -75,7 +93,7 @@
         store.open(new Store.Reader() {
             @Override
             public void state(State state) {
-                Codec.read(state, core);
+                Codec.read(state, core, changes);
                 lastAtMs = state.getAtMs();
                 lastWallMs = state.getWallMs();
                 before[0] = true;
@@ -85,22 +103,27 @@
             public void input(Input input) {
                 lastAtMs = input.getAtMs();
                 lastWallMs = input.getWallMs();
-                Codec.apply(core, input);
+                Codec.apply(core, changes, input);
                 before[0] = true;
             }
         }, say);
         // files of its own from here on: what a controller that was replaced still writes into the old ones is never read
-        if (before[0]) store.snapshot(Codec.write(core, lastAtMs).toBuilder().setWallMs(lastWallMs).build());
+        if (before[0]) store.snapshot(Codec.write(core, changes, lastAtMs).toBuilder().setWallMs(lastWallMs).build());
         long wall = clock.wallMs();
         long down = before[0] ? wall - lastWallMs : 0;
         atStart = lastAtMs + Math.max(0, Math.min(down, 24 * 3_600_000L));
         steadyAtStart = clock.steadyMs();
         Input.Builder restarted = Input.newBuilder().setRestarted(Restarted.newBuilder().setDownMs(down));
-        store.add(stamped(restarted));
+        Input stamped = stamped(restarted);
+        store.add(stamped);
         store.force();
         back.run();
         replaying = false; // what this leads to is news
-        Codec.apply(core, restarted.build());
+        Codec.apply(core, changes, stamped);
+    }
+
+    public Changes changes() {
+        return changes;
     }
 
     public Releases releases() {
@@ -145,7 +168,7 @@
             waiting.clear();
             return;
         }
-        if (core.due(now()) && waiting.isEmpty()) submit(Input.newBuilder().setTick(Tick.getDefaultInstance()), outcome -> { });
+        if ((core.due(now()) || changes.due(now())) && waiting.isEmpty()) submit(Input.newBuilder().setTick(Tick.getDefaultInstance()), outcome -> { });
         if (waiting.isEmpty()) return;
         List<Waiting> turn = List.copyOf(waiting);
         waiting.clear();
@@ -167,7 +190,7 @@
         if (kept == turn.size()) failed = null;
         for (int i = 0; i < turn.size(); i++) {
             Waiting one = turn.get(i);
-            one.done.accept(i < kept ? new Outcome(Codec.apply(core, one.input.build()), null) : new Outcome(null, failed));
+            one.done.accept(i < kept ? new Outcome(Codec.apply(core, changes, one.input.build()), null) : new Outcome(null, failed));
         }
         if (kept > 0 && store.full()) snapshot();
     }
@@ -192,7 +215,7 @@
 
     private void snapshot() {
         try {
-            store.snapshot(Codec.write(core, lastAtMs).toBuilder().setWallMs(lastWallMs).build());
+            store.snapshot(Codec.write(core, changes, lastAtMs).toBuilder().setWallMs(lastWallMs).build());
         } catch (IOException e) {
             complain("no snapshot: " + e.getMessage()); // the inputs are there: it is tried again with the next
         }
--- a/src/main/java/sprucerock/desk/Desk.java
+++ b/src/main/java/sprucerock/desk/Desk.java
@@ -12,6 +12,9 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sprucerock.change.Change;
+import sprucerock.change.Changes;
+import sprucerock.change.Relay;
 import sprucerock.controller.Engine;
 import sprucerock.controller.Lease;
 import sprucerock.controller.Release;
@@ -19,6 +22,7 @@
 import sprucerock.controller.v1.Input;
 import sprucerock.net.nio.NioLoop;
 import sprucerock.time.Span;
+import sprucerock.versions.Vault;
 import sprucerock.wire.Tap;
 
 /** The controller: its engine between relays, pipelines and operators, on one loop that also waits for the disk. */
@@ -30,6 +34,9 @@
     private final Engine engine;
     private final RelaysDoor relays;
     private final HttpDoor http;
+    private final Vault vault;
+    private AgentsDoor agents;
+    private InetSocketAddress agentsAt;
     private final Lease lease;
     private final List<Outbox> outboxes = new ArrayList<>();
     private final Map<String, Long> delivered = new ConcurrentHashMap<>();
@@ -56,10 +63,10 @@
         }
         loop = new NioLoop("controller", this::broken);
         loop.post(this::renew); // from now on: to come back may take longer than the lease
-        engine = Engine.in(config.folder, config.rules, config.places, config.firstBuild, clock, (release, step) -> {
+        engine = Engine.in(config.folder, config.rules, config.places, config.firstBuild, config.plan, clock, (release, step) -> {
             log.info("STEP {} build {} {} stage {}: {}", step.sequence(), release.build, step.standing(), step.stage(), step.cause());
             outboxes.forEach(outbox -> outbox.add(release, step));
-        }, what -> log.error("STORE {}", what)); // relays are told at the turn's end, after all its steps
+        }, ofChanges(), what -> log.error("STORE {}", what)); // relays are told at the turn's end, after all its steps
         for (Outbox.Target target : config.tells) {
             outboxes.add(new Outbox(target, config.folder.resolveSibling(config.folder.getFileName() + "-" + target.name() + ".dead"),
                 upTo -> loop.post(() -> delivered(target.name(), upTo)), what -> log.error("OUTBOX {}", what)));
@@ -67,6 +74,7 @@
         engine.onlyWhile(lease::holds);
         engine.start(this::tellAgain);
         relays = new RelaysDoor(loop, config, tap, this);
+        vault = config.agents == null ? null : new Vault(config.folder.resolveSibling(config.folder.getFileName() + "-versions"), config.mostBytes);
         http = new HttpDoor(config, this);
         Exception[] wrong = new Exception[1];
         CountDownLatch done = new CountDownLatch(1);
@@ -74,8 +82,12 @@
         loop.post(() -> {
             try {
                 at[0] = relays.start();
+                if (config.agents != null) {
+                    agents = new AgentsDoor(loop, config, tap, this, vault);
+                    agentsAt = agents.start();
+                }
             } catch (IOException e) {
-                wrong[0] = new IOException(config.relays + " can't be listened at: " + e.getMessage());
+                wrong[0] = new IOException((at[0] == null ? config.relays : config.agents) + " can't be listened at: " + e.getMessage());
             } finally {
                 done.countDown();
             }
@@ -103,6 +115,10 @@
         return relaysAt;
     }
 
+    public InetSocketAddress agentsAt() {
+        return agentsAt;
+    }
+
     public InetSocketAddress hooksAt() {
         return http.hooksAt();
     }
@@ -111,6 +127,26 @@
         return http.apiAt();
     }
 
+    /** Programs and settings that agents can be told to run; null where this controller has no agents. */
+    Vault vault() {
+        return vault;
+    }
+
+    private Changes.Host ofChanges() {
+        return new Changes.Host() {
+            @Override
+            public void changed(Change change, Change.Step step) {
+                log.info("CHANGE {} step {}: {}, stage {}: {}", change.number, step.sequence(), step.state(), step.stage(), step.cause());
+                if (agents != null) agents.changed(change);
+            }
+
+            @Override
+            public void wants(Relay relay) {
+                if (agents != null) agents.wants(relay);
+            }
+        };
+    }
+
     Engine engine() {
         return engine;
     }
@@ -182,7 +218,7 @@
 
     private void look() {
         if (stopped) return;
-        if (engine.releases().due(engine.now())) commit();
+        if (engine.releases().due(engine.now()) || engine.changes().due(engine.now())) commit();
         loop.at(loop.now().plus(LOOK), this::look);
     }
 
@@ -194,6 +230,7 @@
         CountDownLatch done = new CountDownLatch(1);
         loop.post(() -> {
             relays.stop();
+            if (agents != null) agents.stop();
             loop.at(loop.now().plus(Span.ofMs(100)), done::countDown);
         });
         try {
--- a/src/main/java/sprucerock/desk/DeskConfig.java
+++ b/src/main/java/sprucerock/desk/DeskConfig.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import sprucerock.change.Plan;
 import sprucerock.config.Address;
 import sprucerock.config.ConfigException;
 import sprucerock.config.Node;
@@ -45,6 +46,15 @@
     /** How long an active controller may be silent before another one takes its place. */
     public final Span lease;
     public final Rules rules;
+    /** Where agents come; null: what relays run is not this controller's to change. */
+    public final InetSocketAddress agents;
+    public final int mostAgents;
+    public final int piecesASecond;
+    /** Where files of new versions are put for it; null as above. */
+    public final Path incoming;
+    /** Bytes of one file of a version. */
+    public final long mostBytes;
+    public final Plan plan;
 
     /** Reads and checks a file; the first thing that is wrong ends it. */
     public static DeskConfig read(Path file) throws ConfigException {
@@ -104,6 +114,13 @@
         tells = List.copyOf(targets);
         lease = root.span("lease");
         if (Span.ofMs(500).over(lease)) throw root.wrong("lease is 500ms at least");
+        Node agentsNode = root.child("agents");
+        agents = agentsNode == null ? null : address(agentsNode);
+        mostAgents = agentsNode == null ? 1 : agentsNode.count("most");
+        piecesASecond = agentsNode == null ? 1 : agentsNode.count("pieces-a-second");
+        mostBytes = agentsNode == null ? 0 : agentsNode.bytes("most-bytes");
+        incoming = agentsNode == null ? null : Path.of(agentsNode.text("incoming"));
+        plan = plan(agentsNode);
         List<Rules.Stage> stages = root.all("stage").stream().map(stage -> new Rules.Stage(stage.number("share"), stage.number("cap"))).toList();
         Node votes = root.child("votes");
         rules = new Rules(stages, Rules.Control.valueOf(votes.text("control").toUpperCase(Locale.ROOT)), votes.count("on"), votes.count("hold"),
@@ -111,6 +128,18 @@
             votes.span("watch"), votes.count("a-second"));
     }
 
+    /** Without agents there is a plan too, which nobody goes by. */
+    private static Plan plan(Node node) throws ConfigException {
+        if (node == null) return new Plan(List.of(new Plan.Stage(1, 0.1)), Span.ofMs(1), Span.ofMs(1), Span.ofMs(1), 1, 0, Span.ofMs(1));
+        List<Plan.Stage> stages = new ArrayList<>();
+        for (Node stage : node.all("change-stage")) stages.add(new Plan.Stage(stage.number("share"), stage.number("harm")));
+        try {
+            return new Plan(stages, node.span("watch"), node.span("patience"), node.span("ready-within"), node.number("out"), node.number("refused"), node.span("silent"));
+        } catch (IllegalArgumentException e) {
+            throw node.wrong(e.getMessage());
+        }
+    }
+
     private static InetSocketAddress address(Node node) throws ConfigException {
         InetSocketAddress address = Address.of(node.text("host"), node.count("port"));
         if (address == null) throw node.wrong("host \"" + node.text("host") + "\" is no IPv4 or IPv6 address in numbers");
--- a/src/main/java/sprucerock/desk/HttpDoor.java
+++ b/src/main/java/sprucerock/desk/HttpDoor.java
@@ -24,13 +24,23 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.function.Consumer;
 import org.xnio.Options;
+import sprucerock.change.Change;
+import sprucerock.change.Changes;
+import sprucerock.change.Relay;
+import sprucerock.change.Version;
+import sprucerock.config.ConfigException;
+import sprucerock.config.Live;
 import sprucerock.controller.Engine;
 import sprucerock.controller.Release;
 import sprucerock.controller.Releases;
 import sprucerock.controller.v1.Announced;
+import sprucerock.controller.v1.ChangeWord;
 import sprucerock.controller.v1.Input;
+import sprucerock.controller.v1.Proposed;
 import sprucerock.controller.v1.Ready;
 import sprucerock.controller.v1.Word;
 import sprucerock.time.Moment;
@@ -198,6 +208,12 @@
             onLoop(exchange, () -> answer(exchange, 200, list()));
         } else if (get && path.length == 2 && path[0].equals("releases")) {
             onLoop(exchange, () -> show(exchange, number(path[1])));
+        } else if (get && path.length == 1 && path[0].equals("changes")) {
+            onLoop(exchange, () -> answer(exchange, 200, changes()));
+        } else if (get && path.length == 2 && path[0].equals("changes")) {
+            onLoop(exchange, () -> showChange(exchange, number(path[1])));
+        } else if (get && path.length == 1 && path[0].equals("agents")) {
+            onLoop(exchange, () -> answer(exchange, 200, agents()));
         } else if (!get) {
             body(exchange, MOST_API_BODY, bytes -> word(exchange, path, bytes));
         } else {
@@ -222,16 +238,19 @@
         }
         if (path.length == 1 && path[0].equals("releases")) {
             announceByHand(exchange, body);
+        } else if (path.length == 1 && path[0].equals("changes")) {
+            propose(exchange, body);
         } else if (path.length == 2 && path[0].equals("fleet")) {
             int units = body.path("units").asInt(-1);
             int build = number(path[1]);
             if (units < 0 || build < 1) answer(exchange, 400, "no_units", "{\"units\": n} is needed");
             else onLoop(exchange, () -> desk.submit(Input.newBuilder().setReady(Ready.newBuilder().setBuild(build).setUnits(units)), outcome -> done(exchange, outcome)));
-        } else if (path.length == 3 && path[0].equals("releases") && path[2].matches("hold|resume|withdraw")) {
+        } else if (path.length == 3 && path[0].matches("releases|changes") && path[2].matches("hold|resume|withdraw")) {
             String who = body.path("who").asText("");
             String reason = body.path("reason").asText("");
-            boolean said = !who.isBlank() && !reason.isBlank() && who.length() <= 100 && reason.length() <= 500;
-            if (!said) answer(exchange, 400, "no_reason", "{\"who\": ..., \"reason\": ...} are needed");
+            if (path[0].equals("changes") && said(who, reason)) onLoop(exchange, () -> desk.submit(Input.newBuilder().setChangeWord(ChangeWord.newBuilder()
+                .setWord(path[2].toUpperCase(Locale.ROOT)).setChange(number(path[1])).setWho(who).setReason(reason)), outcome -> done(exchange, outcome)));
+            else if (!said(who, reason)) answer(exchange, 400, "no_reason", "{\"who\": ..., \"reason\": ...} are needed");
             else onLoop(exchange, () -> desk.submit(Input.newBuilder().setWord(Word.newBuilder().setAction(path[2].toUpperCase(Locale.ROOT)).setBuild(number(path[1]))
                 .setWho(who).setReason(reason)), outcome -> done(exchange, outcome)));
         } else {
@@ -239,6 +258,105 @@
         }
     }
 
+    private static boolean said(String who, String reason) {
+        return !who.isBlank() && !reason.isBlank() && who.length() <= 100 && reason.length() <= 500;
+    }
+
+    /** The files are read on this thread, which may wait; what is left out stays as it is. */
+    private void propose(HttpServerExchange exchange, JsonNode body) {
+        String who = body.path("who").asText("");
+        String reason = body.path("reason").asText("");
+        if (config.agents == null) {
+            answer(exchange, 409, "no_agents", "this controller's configuration has no agents");
+            return;
+        }
+        if (!said(who, reason) || !body.has("program") && !body.has("settings")) {
+            answer(exchange, 400, "no_change", "{\"who\": ..., \"reason\": ..., \"program\": file, \"settings\": file} are needed, one of the last two at least");
+            return;
+        }
+        exchange.dispatch(() -> {
+            try {
+                String program = body.has("program") ? taken(body.get("program").asText()) : null;
+                String settings = body.has("settings") ? taken(body.get("settings").asText()) : null;
+                onLoop(exchange, () -> {
+                    Changes changes = desk.engine().changes();
+                    Version base = changes.under() != null ? changes.under().to : changes.usual();
+                    if (base.equals(Version.NONE) && (program == null || settings == null)) {
+                        answer(exchange, 409, "no_effect", "no relay runs anything that is known, so both files are needed");
+                        return;
+                    }
+                    boolean live = (program == null || program.equals(base.program())) && settings != null && needsNoRestart(base.settings(), settings);
+                    desk.submit(Input.newBuilder().setProposed(Proposed.newBuilder().setWho(who).setWhy(reason).setLive(live).setVersion(sprucerock.controller.v1.Version.newBuilder()
+                        .setProgram(program == null ? base.program() : program).setSettings(settings == null ? base.settings() : settings))), outcome -> done(exchange, outcome));
+                });
+            } catch (IOException | IllegalArgumentException e) {
+                answer(exchange, 400, "no_file", e.getMessage());
+            }
+        });
+    }
+
+    /** Whether a signal will do from one settings to others, as far as it can be told here. */
+    private boolean needsNoRestart(String from, String to) {
+        try {
+            return desk.vault().has(from) && Live.needRestart(Files.readString(desk.vault().path(from)), Files.readString(desk.vault().path(to))).isEmpty();
+        } catch (IOException | ConfigException e) {
+            return false; // agents read it through, and say what is wrong
+        }
+    }
+
+    /** A file of the incoming folder, and of no other. */
+    private String taken(String name) throws IOException {
+        Path file = config.incoming.resolve(name);
+        boolean inside = name.matches("[A-Za-z0-9_.+-]{1,200}") && !name.startsWith(".") && Files.isRegularFile(file);
+        if (!inside) throw new IllegalArgumentException("no file " + name + " is in the controller's incoming folder");
+        return desk.vault().put(file);
+    }
+
+    private static ObjectNode brief(Change change) {
+        return Announcements.JSON.createObjectNode().put("change", change.number).put("state", change.state().name().toLowerCase(Locale.ROOT)).put("stage", change.stage())
+            .put("held", change.held()).put("moved", change.moved().size()).put("who", change.who).put("why", change.why).put("from", change.from.toString())
+            .put("to", change.to.toString()).put("program", change.to.program()).put("settings", change.to.settings());
+    }
+
+    private ObjectNode changes() {
+        ObjectNode all = Announcements.JSON.createObjectNode();
+        ArrayNode list = all.putArray("changes");
+        for (Change one : desk.engine().changes().all()) list.add(brief(one));
+        return all.put("epoch", desk.engine().releases().epoch()).put("runs", desk.engine().changes().usual().toString());
+    }
+
+    private void showChange(HttpServerExchange exchange, int number) {
+        Change change = desk.engine().changes().of(number);
+        if (change == null) {
+            answer(exchange, 404, "no_such_change", null);
+            return;
+        }
+        ObjectNode node = brief(change);
+        ArrayNode steps = node.putArray("steps");
+        for (Change.Step step : change.steps()) {
+            steps.addObject().put("sequence", step.sequence()).put("at", Instant.ofEpochMilli(step.wallMs()).toString())
+                .put("state", step.state().name().toLowerCase(Locale.ROOT)).put("stage", step.stage()).put("cause", step.cause());
+        }
+        ArrayNode waits = node.putArray("waits_for");
+        desk.engine().changes().waitsFor(change, desk.engine().now()).forEach(waits::add);
+        ObjectNode beside = node.putObject("beside");
+        change.beside().forEach((moved, control) -> beside.put(Integer.toString(moved), control));
+        ObjectNode refused = node.putObject("refused");
+        change.refused().forEach((relay, why) -> refused.put(Integer.toString(relay), why));
+        answer(exchange, 200, node);
+    }
+
+    private ObjectNode agents() {
+        ObjectNode all = Announcements.JSON.createObjectNode();
+        ArrayNode list = all.putArray("agents");
+        for (Relay one : desk.engine().changes().relays()) {
+            list.addObject().put("relay", one.number).put("zone", one.zone()).put("heard", !one.silent()).put("runs", one.runs().toString())
+                .put("wanted", one.wanted() == null ? "" : one.wanted().toString()).put("ready", one.ready()).put("done", one.done()).put("turn", one.turn())
+                .put("busy", one.busy()).put("program", one.runs().program());
+        }
+        return all;
+    }
+
     private void announceByHand(HttpServerExchange exchange, JsonNode body) {
         int build = body.path("build").asInt(-1);
         String artifact = body.path("artifact").asText("");
--- a/src/main/java/sprucerock/rehearsal/RealController.java
+++ b/src/main/java/sprucerock/rehearsal/RealController.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
 import java.io.IOException;
 import java.net.URI;
@@ -75,7 +76,7 @@
     private int runs;
 
     /** Writes its configuration; {@code ports} for relays, webhooks and operators. */
-    RealController(Path folder, Site site, int firstBuild, int places, int[] ports, Fleet fleet) throws IOException {
+    RealController(Path folder, Site site, int firstBuild, int places, int[] ports, String agents, Fleet fleet) throws IOException {
         this.folder = Files.createDirectory(folder);
         relays = ports[0];
         hooks = ports[1];
@@ -87,11 +88,11 @@
         Files.writeString(folder.resolve("controller.xml"), String.format(Locale.ROOT, """
             <controller xmlns="urn:sprucerock:controller:1" name="rehearsal" folder="%s" first-build="%d" places="%d" lease="2500ms">
               <relays host="127.0.0.1" port="%d"/>
-              <hooks host="127.0.0.1" port="%d"><source name="ci" form="standard" secrets="%s" a-second="100"/></hooks>
+            %s              <hooks host="127.0.0.1" port="%d"><source name="ci" form="standard" secrets="%s" a-second="100"/></hooks>
               <api host="127.0.0.1" port="%d" token="%s"/>
             %s  <votes control="%s" on="%d" hold="%d" back="%d" life="%s" least="%s" step="%s" start-within="20s" going-back="1500ms" watch="5s"/>
             </controller>
-            """, folder.resolve("store").toAbsolutePath(), firstBuild, places, relays, hooks, secret("ci", "whsec_" + Base64.getEncoder().encodeToString(SECRET)), api,
+            """, folder.resolve("store").toAbsolutePath(), firstBuild, places, relays, agents, hooks, secret("ci", "whsec_" + Base64.getEncoder().encodeToString(SECRET)), api,
             secret("token", TOKEN), stages, desk.control().name().toLowerCase(Locale.ROOT), desk.on(), desk.hold(), desk.back(), span(desk.voteLife()),
             span(desk.bake()), span(desk.step())));
     }
@@ -273,6 +274,63 @@
         }
     }
 
+    /** Proposes until it is taken or refused, in a thread of its own. */
+    void propose(String program, String settings) {
+        ObjectNode body = JSON.createObjectNode().put("who", "rehearsal").put("reason", "the day has it");
+        if (program != null) body.put("program", program);
+        if (settings != null) body.put("settings", settings);
+        run("propose", () -> {
+            for (int status = 0; status == 0 && !over;) {
+                try {
+                    HttpResponse<String> got = http.send(asked("/changes").POST(HttpRequest.BodyPublishers.ofString(body.toString())).build(), HttpResponse.BodyHandlers.ofString());
+                    status = got.statusCode();
+                    if (status != 200) proposals.add("the proposal of " + program + ", " + settings + " was answered " + status + " " + got.body().strip());
+                } catch (IOException e) {
+                    Thread.sleep(100);
+                }
+            }
+        });
+    }
+
+    private final List<String> proposals = java.util.Collections.synchronizedList(new ArrayList<>());
+
+    /** Each change with its steps, in lines; and which relay does not run what it should, if any. */
+    List<String> changes() throws InterruptedException {
+        List<String> found = new ArrayList<>(proposals);
+        try {
+            for (JsonNode one : get("/changes").get("changes")) {
+                JsonNode change = get("/changes/" + one.get("change").asInt());
+                found.add("change " + one.get("change").asInt() + " " + one.get("from").asText() + " to " + one.get("to").asText() + ": " + one.get("state").asText().replace('_', ' '));
+                for (JsonNode step : change.get("steps")) {
+                    found.add(String.format(Locale.ROOT, "  %s  %s, stage %d: %s", step.get("at").asText(), step.get("state").asText().replace('_', ' '), step.get("stage").asInt(),
+                        step.get("cause").asText()));
+                }
+                for (JsonNode wait : change.get("waits_for")) found.add("  waits for " + wait.asText());
+            }
+        } catch (IOException e) {
+            found.add("the controller does not answer");
+        }
+        return found;
+    }
+
+    /** Relays that do not run what the controller says, or are not ready; each in a line. */
+    List<String> strays() throws InterruptedException {
+        List<String> found = new ArrayList<>();
+        try {
+            for (JsonNode one : get("/agents").get("agents")) {
+                boolean well = one.get("heard").asBoolean() && one.get("ready").asBoolean() && (one.get("wanted").asText().isEmpty() || one.get("wanted").equals(one.get("runs")));
+                if (!well) found.add("relay " + one.get("relay").asInt() + " runs " + one.get("runs").asText() + ", wanted is " + one.get("wanted").asText());
+            }
+        } catch (IOException e) {
+            found.add("the controller does not answer");
+        }
+        return found;
+    }
+
+    private JsonNode get(String path) throws IOException, InterruptedException {
+        return JSON.readTree(http.send(asked(path).GET().build(), HttpResponse.BodyHandlers.ofString()).body());
+    }
+
     /** So many units of a build are there. */
     void units(int build, int many) {
         synchronized (units) {
--- a/src/main/java/sprucerock/rehearsal/Rehearsal.java
+++ b/src/main/java/sprucerock/rehearsal/Rehearsal.java
@@ -37,6 +37,6 @@
         out.print(report);
         out.println();
         out.println("traces, logs and this report: " + folder);
-        return play.controllerEnded && verdict.kept() && balanced && play.relays().stream().allMatch(relay -> relay.badEnds() == 0);
+        return play.controllerEnded && play.strays.isEmpty() && verdict.kept() && balanced && play.relays().stream().allMatch(relay -> relay.badEnds() == 0);
     }
 }
--- a/src/main/java/sprucerock/rehearsal/Report.java
+++ b/src/main/java/sprucerock/rehearsal/Report.java
@@ -28,6 +28,13 @@
         builds(text, play);
         if (play.controller() == null) votes(text, play);
         else controller(text, play, followed);
+        if (play.hasAgents()) {
+            line(text, "");
+            line(text, "what relays run");
+            for (String one : play.changes) line(text, "  %s", one);
+            line(text, "  at the end %s", play.strays.isEmpty() ? "each relay runs what the controller says" : "NOT EACH RUNS WHAT THE CONTROLLER SAYS");
+            for (String one : play.strays) line(text, "    %s", one);
+        }
         service(text, play);
         troubles(text, play);
         line(text, "");
--- a/src/main/java/sprucerock/rehearsal/Script.java
+++ b/src/main/java/sprucerock/rehearsal/Script.java
@@ -82,6 +82,8 @@
     public Manners manners = new Manners(2, Span.ofMs(100), 0, 0.3);
     /** The controller is the real one, not a stand-in. */
     public boolean realController;
+    /** Relays run under agents, and changes are watched for so long a stage; null: by themselves. */
+    public Span changeWatch;
     /** Units are reached by TLS; {@code tlsEveryone}: clients and other relays, too, and all are proven. */
     public boolean tls;
     public boolean tlsEveryone;
@@ -156,6 +158,7 @@
         if (methods.isEmpty()) throw wrong(day, "a day needs a method");
         if (units.isEmpty()) throw wrong(day, "a day needs units");
         if (stages.isEmpty()) stages.addAll(List.of(new Site.Stage(0.1, 0.12), new Site.Stage(0.4, 0.45), new Site.Stage(1, 1)));
+        if (changeWatch != null && (!realController || tls)) throw wrong(day, "agents need 'controller real', and no tls yet");
         if (relays < 1 || relays > 50) throw wrong(day, "1 to 50 relays can be played on one machine, not " + relays);
         double shares = methods.stream().mapToDouble(Site.Method::share).sum();
         if (Math.abs(shares - 1) > 0.01) throw wrong(day, "the shares of the methods add up to " + Math.round(100 * shares) + "%, not 100%");
@@ -235,6 +238,12 @@
             return null;
         }
 
+        @Override
+        public Void visitAgents(DayParser.AgentsContext c) {
+            changeWatch = span(c.SPAN().getSymbol());
+            return null;
+        }
+
         @Override
         public Void visitTick(DayParser.TickContext c) {
             tick = span(c.SPAN().getSymbol());
@@ -467,6 +476,26 @@
             return lasting(c.SPAN().getSymbol(), play -> play.controllerDown(killed, true), play -> play.controllerDown(killed, false));
         }
 
+        private String quoted(Token token) {
+            return token == null ? null : token.getText().substring(1, token.getText().length() - 1);
+        }
+
+        @Override
+        public Void visitChange(DayParser.ChangeContext c) {
+            if (changeWatch == null) throw wrong(c, "the day has no agents; a line such as \"agents watch 5s\" gives it some");
+            String limits = quoted(c.settings);
+            String main = quoted(c.program);
+            if (limits == null && main == null) throw wrong(c, "a change is of settings, such as \"open=500\", of a program, by the class that it starts, or of both");
+            return add(null, play -> play.change(limits, main));
+        }
+
+        @Override
+        public Void visitAgentIll(DayParser.AgentIllContext c) {
+            if (changeWatch == null) throw wrong(c, "the day has no agents; a line such as \"agents watch 5s\" gives it some");
+            int relay = whole(c.INT().getSymbol(), relays - 1);
+            return lasting(c.SPAN().getSymbol(), play -> play.agentDown(relay, true), play -> play.agentDown(relay, false));
+        }
+
         @Override
         public Void visitRotate(DayParser.RotateContext c) {
             needsTls(c);
--- a/src/main/java/sprucerock/relay/Relay.java
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -61,12 +61,15 @@
     private volatile boolean tlsBroken;
     private volatile boolean drifting; // written by the loop, read by whoever scrapes
     private Runnable finished;
+    /** The configuration as it was read last: what the schema marks as live is looked up here. */
+    private RelayConfig live;
 
     /** Nothing is opened yet, see {@link #start}. */
     public Relay(RelayConfig config, Net net, Tap tap) {
         super(net, config.settings, new Ledger(config.settings, new Accounts(config.methodNames,
             new Accounts.Room(BUILDS, Math.min(config.units, UNITS), CUSTOMERS))), new Events(net));
         this.config = config;
+        live = config;
         this.tap = tap;
         accounts = ledger.accounts();
         // the doors' dice, apart from the module's, whose draws must not depend on links
@@ -191,10 +194,22 @@
         finished = done;
         listener.close();
         events.info(Events.Kind.FINISHING, ledger.open() + " RPCs are open");
-        net.at(net.now().plus(config.finishWithin), this::abortOpen);
+        net.at(net.now().plus(live.finishWithin), this::abortOpen);
         lookWhetherDone();
     }
 
+    /** Settings that were read anew, of which only such differ as the schema marks as live. */
+    public void reload(RelayConfig anew) {
+        live = anew;
+        events.info(Events.Kind.SETTINGS, "taken over: limits/open " + anew.open + ", limits/open-per-client " + anew.openPerClient + ", limits/finish-within "
+            + anew.finishWithin.ms() + "ms");
+    }
+
+    /** Settings that were read anew can't be taken over; what holds goes on. */
+    public void notReloaded(String why) {
+        events.error(Events.Kind.SETTINGS, why + "; what was read before holds");
+    }
+
     private void abortOpen() {
         // the time that operators allow is over: an abort promises nothing, so it is always true
         for (ClientLink client : Set.copyOf(clients)) client.abortAll();
@@ -242,8 +257,8 @@
                 + config.settings.methods.size() + "; it was aborted");
             return;
         }
-        String full = config.strict && drifting ? "figures drift, and figures/strict is set" : finishing ? "the relay is finishing" : ledger.open() >= config.open ? "limits/open is reached"
-            : asked.client.open() > config.openPerClient ? "limits/open-per-client is reached" : null;
+        String full = config.strict && drifting ? "figures drift, and figures/strict is set" : finishing ? "the relay is finishing" : ledger.open() >= live.open ? "limits/open is reached"
+            : asked.client.open() > live.openPerClient ? "limits/open-per-client is reached" : null;
         if (full != null) {
             accounts.begin(accounts.calls, 0, 2);
             asked.client.answer(asked, Ending.PUSHED_BACK, 0, 0, ClientLink.NO_BODY);
--- a/src/main/java/sprucerock/wire/FrameLink.java
+++ b/src/main/java/sprucerock/wire/FrameLink.java
@@ -17,8 +17,9 @@
  * Whatever is not the protocol cuts it with a reason.
  */
 public final class FrameLink implements LinkUser {
-    /** Of this protocol; both sides must have the same. */
+    /** Of this protocol; the oldest that is still understood. */
     public static final int VERSION = 1;
+    private static final int OLDEST = 1;
     private static final int COPIED_BODY = 4096; // up to here one copy is cheaper than one more piece to be written
 
     private final Timers timers;
@@ -124,8 +125,8 @@
         if (kind == Kind.HELLO) {
             Hello hello = (Hello) head;
             if (other != null) cut("greeted twice");
-            else if (hello.getVersion() != VERSION) {
-                cut("speaks version " + hello.getVersion() + ", only " + VERSION + " is spoken here");
+            else if (tooFar(hello) != null) {
+                cut(tooFar(hello));
             } else {
                 other = hello;
                 user.greeted(this, hello);
@@ -139,6 +140,13 @@
         }
     }
 
+    /** Null where both sides have a version in common: the lower of their newest is spoken. Else why not. */
+    static String tooFar(Hello hello) {
+        int oldest = hello.getOldest() == 0 ? hello.getVersion() : hello.getOldest();
+        if (hello.getVersion() >= OLDEST && oldest <= VERSION) return null;
+        return "speaks versions " + oldest + " to " + hello.getVersion() + ", here " + OLDEST + " to " + VERSION + " are spoken";
+    }
+
     /** Closes at once; the user is told later, like for any other end. */
     public void cut(String why) {
         if (closed) return;
--- a/src/main/java/sprucerock/wire/FrameReader.java
+++ b/src/main/java/sprucerock/wire/FrameReader.java
@@ -17,6 +17,9 @@
     }
 
     static final int START = 8;
+    // kinds that a later version within reach may have; what lies beyond is noise
+    private static final int FIRST_UNKNOWN = 17;
+    private static final int LAST_UNKNOWN = 127;
     static final byte[] NO_BODY = {};
 
     private final int mostBytes;
@@ -77,6 +80,7 @@
     private static void one(ByteBuffer frame, Sink sink) throws WireException {
         int start = frame.getInt(4);
         Kind kind = Kind.of(start >>> 24);
+        if (kind == null && start >>> 24 >= FIRST_UNKNOWN && start >>> 24 <= LAST_UNKNOWN) return; // of a newer program: read past
         int head = start & 0xffffff;
         int body = frame.capacity() - START - head;
         if (kind == null) throw new WireException("no kind of frame is " + (start >>> 24));
--- a/src/main/java/sprucerock/wire/Kind.java
+++ b/src/main/java/sprucerock/wire/Kind.java
@@ -2,20 +2,24 @@
 
 import com.google.protobuf.MessageLite;
 import com.google.protobuf.Parser;
+import sprucerock.wire.v1.AgentSays;
 import sprucerock.wire.v1.Answer;
 import sprucerock.wire.v1.Beat;
 import sprucerock.wire.v1.Call;
 import sprucerock.wire.v1.Counts;
 import sprucerock.wire.v1.Done;
+import sprucerock.wire.v1.Fetch;
 import sprucerock.wire.v1.Flag;
 import sprucerock.wire.v1.Hello;
 import sprucerock.wire.v1.Leave;
 import sprucerock.wire.v1.Listing;
 import sprucerock.wire.v1.News;
+import sprucerock.wire.v1.Piece;
 import sprucerock.wire.v1.Stop;
 import sprucerock.wire.v1.Told;
 import sprucerock.wire.v1.Vote;
 import sprucerock.wire.v1.Voted;
+import sprucerock.wire.v1.Wants;
 import sprucerock.wire.v1.Watch;
 import sprucerock.wire.v1.Work;
 
@@ -36,9 +40,13 @@
     NEWS(13, News.parser(), false),
     VOTE(14, Vote.parser(), false),
     VOTED(15, Voted.parser(), false),
-    COUNTS(16, Counts.parser(), false);
+    COUNTS(16, Counts.parser(), false),
+    AGENT(17, AgentSays.parser(), false),
+    WANTS(18, Wants.parser(), false),
+    FETCH(19, Fetch.parser(), false),
+    PIECE(20, Piece.parser(), true);
 
-    private static final Kind[] BY_CODE = new Kind[17];
+    private static final Kind[] BY_CODE = new Kind[21];
 
     static {
         for (Kind kind : values()) BY_CODE[kind.code] = kind;
