Rehearsals listen below the ports of outgoing connections, which took one meanwhile

Change: ports from 12,000 to 30,000, from a place by the process's number on, the next one where somebody has it.

--- a/src/main/java/sprucerock/rehearsal/Play.java
+++ b/src/main/java/sprucerock/rehearsal/Play.java
@@ -62,6 +62,9 @@
     private static final int WORKERS = 2; // for all stand-ins' handshakes
     private static final long SCRAPE_MS = 250; // sixty times as often as a monitor does
     private static final int FIRST_BUILD = 1;
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORTS = 18_000;
+    private static final java.util.concurrent.atomic.AtomicInteger nextPort = new java.util.concurrent.atomic.AtomicInteger((int) (ProcessHandle.current().pid() * 97 % PORTS));
 
     private final Script day;
     private final Site site;
@@ -265,10 +268,17 @@
         }
     }
 
+    /** Below those that systems give to connections that go out: one of these may be taken before who it is for can listen there. */
     private static int freePort() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return probe.getLocalPort();
+        for (int tries = 0; tries < PORTS; tries++) {
+            int port = FIRST_PORT + Math.floorMod(nextPort.getAndIncrement(), PORTS);
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return probe.getLocalPort();
+            } catch (java.net.BindException e) {
+                // somebody has it: the next one
+            }
         }
+        throw new IOException("no port from " + FIRST_PORT + " to " + (FIRST_PORT + PORTS) + " is free");
     }
 
     /** Until every relay listens; a relay that ends instead has said why in its log. */
