--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -401,8 +401,7 @@
         List<Unit> open = noConnection.at(now, 0, 2) > 0.15 ? met.of(build, chance.next()) : List.of();
         for (int i = 0; i < open.size() + Math.min(build.units.size(), 24); i++) {
             Unit unit = i < open.size() ? open.get(i) : build.draw(i - open.size(), chance.next());
-            if (first != null && !rpc.method.dropsRepeats(first.unit, unit)) continue;
-            if (rpc.triedAt(unit) || !hasRoom(unit, now)) continue;
+            if (!mayTake(rpc, first, unit, now)) continue;
             if (sick(unit) && mayLook && now.after(unit.retryAt) && budgetHasRoom()) {
                 unit.retryAt = now.plus(Span.ofMs(1000)); // a look a second shows recovery at little cost
                 repeats.add(now, 1);
@@ -410,11 +409,32 @@
             }
             if (sick(unit) || farOff(unit)) rest = unit;
             else if (one == null) one = unit;
-            else return cost(one) <= cost(unit) ? one : unit; // the design's two random choices
+            else return sparingly(rpc, first, cost(one) <= cost(unit) ? one : unit, now); // two choices
         }
         return one != null ? one : rest;
     }
 
+    private boolean mayTake(Rpc rpc, Pick first, Unit unit, Moment now) {
+        if (first != null && !rpc.method.dropsRepeats(first.unit, unit)) return false;
+        return !rpc.triedAt(unit) && hasRoom(unit, now);
+    }
+
+    // A new connection costs its unit a handshake. Where hundreds of relays see little each, most units drawn
+    // are ones that this relay has no connection to: one that answered lately and is no dearer stands in for
+    // it. Not on trial, where pairs shall meet many units.
+    private Unit sparingly(Rpc rpc, Pick first, Unit drawn, Moment now) {
+        if (connected(drawn, now) || onTrial(drawn.build)) return drawn;
+        for (Unit unit : met.of(drawn.build, chance.next())) {
+            boolean well = connected(unit, now) && !sick(unit) && !farOff(unit);
+            if (well && mayTake(rpc, first, unit, now) && cost(unit) <= cost(drawn)) return unit;
+        }
+        return drawn;
+    }
+
+    private boolean connected(Unit unit, Moment now) { // by half the idle time neither end has closed it
+        return unit.lastAnswer != null && settings.idle.times(0.5).over(now.since(unit.lastAnswer));
+    }
+
     private boolean farOff(Unit unit) { // a slow or lossy link: about twice the own zone's times
         if (unit.zone == settings.zone || !zonePaces.containsKey(settings.zone)) return false;
         Moment now = host.now();
--- a/src/main/java/sprucerock/config/RelayConfig.java
+++ b/src/main/java/sprucerock/config/RelayConfig.java
@@ -110,7 +110,9 @@
         strict = kept != null && kept.flag("strict");
         Node site = root.child("site");
         int number = root.count("number");
-        settings = new Settings(draft(site, number));
+        Settings.Draft draft = draft(site, number);
+        draft.idle = idle;
+        settings = new Settings(draft);
         if (number >= settings.relays) {
             throw root.wrong("number " + number + " of " + settings.relays + " relays: 0 to " + (settings.relays - 1));
         }
--- a/src/main/java/sprucerock/model/Settings.java
+++ b/src/main/java/sprucerock/model/Settings.java
@@ -39,6 +39,8 @@
     public final double meanSoftMs;
     public final int index;
     public final Span countsEvery;
+    /** A connection that carries nothing for this long is closed, at either end. */
+    public final Span idle;
 
     /** What a reader fills in. What has a value here may be left out; the rest must be set. */
     public static final class Draft {
@@ -70,6 +72,7 @@
         public int relays;
         public int index;
         public Span countsEvery = Span.ZERO;
+        public Span idle = Span.ofMs(30_000);
     }
 
     public Settings(Draft draft) {
@@ -101,6 +104,7 @@
         relays = draft.relays;
         index = draft.index;
         countsEvery = draft.countsEvery;
+        idle = draft.idle;
         mostUtility = methods.stream().mapToDouble(method -> method.utility).max().orElse(1);
         meanSoftMs = methods.stream().mapToDouble(method -> method.softDeadline.ms()).average().orElse(1000);
     }
--- a/src/main/java/sprucerock/platform/PlatformConfig.java
+++ b/src/main/java/sprucerock/platform/PlatformConfig.java
@@ -37,8 +37,6 @@
     final List<String> methodNames = new ArrayList<>();
     final List<String> zones;
     final List<String> kinds;
-    /** Units close what stands idle for this long. */
-    final Span idle;
     final Span connectWithin;
     /** The longest that a client waits. */
     final Span longest;
@@ -68,7 +66,6 @@
             double most = 0;
             for (int i = 0; i < settings.methods.size(); i++) most = Math.max(most, Double.parseDouble(pairs.getOrDefault("classes." + i + ".hard_limit", "3000")));
             longest = Span.ofMs(most);
-            idle = Span.ofMs(Double.parseDouble(pairs.getOrDefault("permissions.keepalive", "30000")));
             connectWithin = Span.ofMs(Double.parseDouble(pairs.getOrDefault("permissions.connect_timeout", "250")));
         } catch (IllegalArgumentException e) {
             throw new ConfigException(file + ": settings: " + e.getMessage());
--- a/src/main/java/sprucerock/platform/Serving.java
+++ b/src/main/java/sprucerock/platform/Serving.java
@@ -73,7 +73,7 @@
         for (Method method : settings.methods) methods.put(config.methodNames.get(method.index), method);
         int forClients = (int) (config.sockets * CLIENTS);
         clients = new ClientDoor(net, events, this, methods, (int) (config.sockets * ENOUGH), forClients);
-        units = new UnitDoors(net, events, this, config.sockets - forClients - OWN, config.idle, config.connectWithin);
+        units = new UnitDoors(net, events, this, config.sockets - forClients - OWN, settings.idle, config.connectWithin);
         Moment unix = net.now().minus(Span.ofMs(unixMs));
         discovery = new Discovery(net, config, ledger, events, units, unix, chance::next, this::learnt, this::listLost);
         desk = new Desk(net, config, ledger, events, chance::next, discovery::unit, reply -> module.voteAnswered(reply), this::askSettings);
--- a/src/main/java/sprucerock/settings/SettingsText.java
+++ b/src/main/java/sprucerock/settings/SettingsText.java
@@ -65,6 +65,7 @@
         draft.index = (int) number("index");
         draft.relays = (int) number("balancers");
         draft.countsEvery = Span.ofMs(optional("specifics.sums_every", draft.countsEvery.ms()));
+        draft.idle = Span.ofMs(optional("permissions.keepalive", draft.idle.ms()));
         return draft;
     }
 
--- a/src/test/java/sprucerock/PolicyTest.java
+++ b/src/test/java/sprucerock/PolicyTest.java
@@ -414,6 +414,25 @@
         assertTrue(host.sent.stream().skip(20).noneMatch(pick -> pick.unit == far));
     }
 
+    @Test
+    public void quietRelayStaysWithUnitsThatItHasConnectionsTo() {
+        FakeHost host = new FakeHost("permissions.keepalive=20000").with(60);
+        host.traffic(200, 400);
+        long met = host.sent.stream().map(pick -> pick.unit).distinct().count();
+        assertTrue(met <= 20, met + " units met");
+    }
+
+    @Test
+    public void connectionsThatStoodIdleForLongDrawNobody() {
+        FakeHost host = new FakeHost("permissions.keepalive=20000").with(60);
+        for (int i = 0; i < 12; i++) {
+            host.pass(15_000);
+            host.traffic(1, 400);
+        }
+        long met = host.sent.stream().map(pick -> pick.unit).distinct().count();
+        assertTrue(met >= 10, met + " units met");
+    }
+
     @Test
     public void leadsOfSeveralStagesAddUp() {
         FakeHost host = new FakeHost().with(4).offering(3, 0, 0.1);
