Ways between agents, relays and controller that can be cut, late or reset; lost notes

And an agent without its notes restarted a relay that ran what was wanted (Agent.wants): all agents that lose theirs together would restart all relays at once, past any room.

Change: WayStandIn stands between two processes, byte by byte: cut in both directions or one, late, pieces sent again, reset; what is cut waits, ends of connections too. Every link of relays and agents to the real controller goes through one. A relay's command line names who keeps it, what it runs and for which turn; an agent takes it over by that where its note is torn, lost or was never written. A file of a version is read through once a life, and fetched again where it is torn.

--- a/src/main/antlr4/sprucerock/rehearsal/Day.g4
+++ b/src/main/antlr4/sprucerock/rehearsal/Day.g4
@@ -39,6 +39,7 @@
   | 'unit' INT (fate | ill 'for' SPAN)                                                       # unit
   | 'units' PERCENT ill 'for' SPAN                                                          # unitsIll
   | 'relay' INT (how=('killed' | 'stopped' | 'stalls') | 'busy' 'times' number) 'for' SPAN   # relay
+  | 'relays' PERCENT how=('killed' | 'stopped') 'for' SPAN                                  # relaysDown
   | 'traffic' 'times' number 'for' SPAN                                                     # burst
   | 'customer' NAME ('times' number | 'rude') 'for' SPAN                                    # customerIll
   | 'everything' 'slow' 'times' number 'for' SPAN                                           # everythingSlow
@@ -50,7 +51,8 @@
   | 'zone' INT 'link' late=SPAN ('losing' PERCENT)? 'for' length=SPAN                       # zoneLink
   | 'controller' how=('killed' | 'stalls') 'for' SPAN                                       # controllerIll
   | 'change' ('settings' settings=STRING)? ('program' program=STRING)?                     # change
-  | 'agent' INT 'killed' 'for' SPAN                                                        # agentIll
+  | 'agent' INT 'killed' (forgets='forgets')? 'for' SPAN                                   # agentIll
+  | 'ways' 'of' whose=('agents' | 'relays') (first=INT ('to' last=INT)?)? wayIll 'for' length=SPAN # waysIll
   | 'certificates' 'rotate'                                                                 # rotate
   | 'trust' 'rotates' 'within' SPAN                                                         # trustRotates
   | 'clients' 'rude' 'for' SPAN                                                             # rude
@@ -66,6 +68,8 @@
   | 'slows' 'all' 'times' number
   ;
 
+wayIll: 'cut' ('there' | 'back')? | 'late' SPAN | 'losing' PERCENT | 'reset';
+
 fate: 'drains' | 'restarts' 'within' SPAN | 'dies';
 
 ill
--- a/src/main/java/sprucerock/agent/Agent.java
+++ b/src/main/java/sprucerock/agent/Agent.java
@@ -41,6 +41,8 @@
     private Moment since;
     private int tries;
     private int run;
+    /** The turn for which the relay that was taken over was started; 0 where none was. */
+    private int adoptedFor;
     private boolean stopped;
     private String ending;
     private final Deque<Run> runsOver = new ArrayDeque<>();
@@ -105,6 +107,7 @@
     public void adopted(Version version, int turn) {
         runs = version;
         run++;
+        adoptedFor = turn;
         becomeReady();
         if (version.equals(memory.wanted()) && turn == memory.turn()) carriedOut();
     }
@@ -127,7 +130,9 @@
             machine.log("epoch " + epoch + " said " + memory.wanted() + " for turn " + turn + " and says " + version + " now: the first holds");
             return;
         }
-        boolean asItIs = turn == 0 && phase == Phase.READY && runs.equals(version); // adopted: no restart was asked for
+        // no restart was asked for; or it was, and carried out, and this agent's notes of it are lost: where all agents lose theirs
+        // together, all relays would else be restarted at once
+        boolean asItIs = (turn == 0 || turn == adoptedFor) && !same && phase == Phase.READY && runs.equals(version);
         if (!same || epoch != memory.epoch()) keep(memory.told(epoch, turn, same ? memory.done() : Math.min(memory.done(), turn - 1), version));
         if (!same) tries = 0;
         if (asItIs) carriedOut();
--- a/src/main/java/sprucerock/agent/Here.java
+++ b/src/main/java/sprucerock/agent/Here.java
@@ -9,6 +9,7 @@
 import java.nio.file.StandardCopyOption;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,6 +36,7 @@
 final class Here implements Machine {
     private static final String MEMORY = "agent.state";
     private static final String PID = "relay.pid";
+    private static final String MARK = "-Dsprucerock.kept="; // folder, program, settings, turn: a running relay tells who keeps it
     private static final String LOG = "relay.log";
     private static final String SETTINGS = "relay.xml";
     private static final long MOST_LOG = 16 << 20; // at a start: then it begins anew, and the one before is kept
@@ -109,8 +111,14 @@
         return Files.move(part, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
 
-    private List<String> command(Version version, String... words) {
+    private String mark() {
+        return MARK + config.folder.toAbsolutePath() + ",";
+    }
+
+    private List<String> command(Version version, boolean marked, String... words) {
         List<String> command = new ArrayList<>(List.of(config.java));
+        // in front: of a long command line the system tells its beginning
+        if (marked) command.add(mark() + version.program() + "," + version.settings() + "," + agent.memory().turn());
         command.addAll(config.options);
         command.addAll(List.of("-jar", vault.path(version.program()).toString()));
         command.addAll(List.of(words));
@@ -123,7 +131,7 @@
         Process check;
         try {
             file = put(config.folder.resolve("check.xml"), filled(version));
-            check = new ProcessBuilder(command(version, "check-config", file.toString())).redirectErrorStream(true).start();
+            check = new ProcessBuilder(command(version, false, "check-config", file.toString())).redirectErrorStream(true).start();
         } catch (IOException | ConfigException e) {
             consumers.readThrough(version, e.getMessage());
             return;
@@ -164,12 +172,12 @@
             if (Files.exists(file) && Files.size(file) > MOST_LOG) Files.move(file, config.folder.resolve(LOG + ".1"), StandardCopyOption.REPLACE_EXISTING);
             long from = Files.exists(file) ? Files.size(file) : 0;
             // into a file, not to the agent: the relay outlives it
-            List<String> command = command(version, "relay", "--config", filled.toString());
+            List<String> command = command(version, true, "relay", "--config", filled.toString());
             for (String argument : config.arguments) command.add(argument.replace("${run}", Integer.toString(agent.starts())));
             Process made = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(file.toFile())).start();
             process = made.toHandle();
-            Files.writeString(config.folder.resolve(PID), pidLine(version));
+            note(version);
             log.info("START {} as process {}", version, process.pid());
             follow(process, made);
             lookFor(" STARTED ", process, file, from, null, said -> agent.isReady());
@@ -179,6 +187,15 @@
         }
     }
 
+    /** A full disk keeps nobody's relay from serving: without the note it is found by its mark. */
+    private void note(Version version) {
+        try {
+            put(config.folder.resolve(PID), pidLine(version));
+        } catch (IOException e) {
+            log("which process runs can't be noted: " + e.getMessage() + "; the next life of this agent looks for its mark");
+        }
+    }
+
     private String pidLine(Version version) {
         return process.pid() + " " + startedMs(process) + " " + version.program() + " " + version.settings() + " " + agent.memory().turn();
     }
@@ -218,20 +235,54 @@
     /** The relay of an earlier life of the agent, if it runs still: it goes on. */
     void adopt() {
         Path file = config.folder.resolve(PID);
-        if (!Files.exists(file)) return;
         try {
-            String[] parts = Files.readString(file).strip().split(" ");
-            Version version = new Version(parts[2], parts[3]);
-            ProcessHandle found = ProcessHandle.of(Long.parseLong(parts[0])).orElse(null);
-            if (found == null || startedMs(found) != Long.parseLong(parts[1])) return; // it ended, and the number may be another's
+            if (Files.exists(file)) {
+                String[] parts = Files.readString(file).strip().split(" ");
+                ProcessHandle found = ProcessHandle.of(Long.parseLong(parts[0])).orElse(null);
+                // else it ended, and the number may be another's
+                if (found != null && startedMs(found) == Long.parseLong(parts[1])) {
+                    adopt(found, new Version(parts[2], parts[3]), Integer.parseInt(parts[4]));
+                    return;
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            log(file + " can't be read (" + e.getMessage() + "): the relay is looked for by its mark");
+        }
+        adoptByMark();
+    }
+
+    /**
+     * Guards against an agent that ended between its relay's start and the note of it, and against a note that is torn, lost or could not
+     * be written: a second relay would find the first one's address taken, for as long as that runs.
+     */
+    private void adoptByMark() {
+        List<ProcessHandle> marked = ProcessHandle.allProcesses().filter(one -> commandLine(one).contains(mark()))
+            .sorted(Comparator.comparingLong(Here::startedMs)).toList();
+        if (marked.isEmpty()) return;
+        ProcessHandle oldest = marked.get(0); // it has the address
+        String line = commandLine(oldest);
+        String[] parts = line.substring(line.indexOf(mark()) + mark().length()).split(" ", 2)[0].split(",");
+        try {
+            adopt(oldest, new Version(parts[0], parts[1]), Integer.parseInt(parts[2]));
+        } catch (RuntimeException e) {
+            log("process " + oldest.pid() + " has this agent's mark, and can't be taken over: " + e.getMessage());
+        }
+    }
+
+    private static String commandLine(ProcessHandle one) {
+        return one.info().commandLine().orElse("");
+    }
+
+    private void adopt(ProcessHandle found, Version version, int turn) {
+        try {
             settings = RelayConfig.read(config.folder.resolve(SETTINGS));
-            process = found;
-            log.info("ADOPT {} as process {}", version, found.pid());
-            follow(found, null);
-            agent.adopted(version, Integer.parseInt(parts[4]));
-        } catch (IOException | ConfigException | RuntimeException e) {
-            log(file + " can't be read (" + e.getMessage() + "): whether a relay runs is not known; if one does, it holds its address, and starts fail until it is ended");
+        } catch (ConfigException e) {
+            log("what the relay serves under is not known, nor then its sums: " + e.getMessage());
         }
+        process = found;
+        log.info("ADOPT {} as process {}", version, found.pid());
+        follow(found, null);
+        agent.adopted(version, turn);
     }
 
     /** Its sums, or null while there are none; what goes over a limit ends it. */
@@ -272,7 +323,7 @@
             Path log = config.folder.resolve(LOG);
             long from0 = Files.size(log);
             put(now, anew);
-            Files.writeString(config.folder.resolve(PID), pidLine(to));
+            note(to);
             new ProcessBuilder("kill", "-HUP", Long.toString(one.pid())).start();
             Moment until = loop.now().plus(TAKES_OVER);
             lookFor(" SETTINGS taken over", one, log, from0, until, said -> agent.reloaded(to, said));
--- a/src/main/java/sprucerock/rehearsal/AgentProcess.java
+++ b/src/main/java/sprucerock/rehearsal/AgentProcess.java
@@ -7,11 +7,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** A relay of a rehearsal under an agent, which starts it; what befalls the relay is done to it over the agent's head. */
 final class AgentProcess extends RelayProcess {
     private final Path home;
     private Process agent;
+    /** Where its agent's notes were taken away: the relay that ran then. */
+    private Optional<ProcessHandle> lastKnown = Optional.empty();
 
     AgentProcess(int number, Path folder) {
         super(number, folder);
@@ -34,6 +37,7 @@
     }
 
     private Optional<ProcessHandle> relay() {
+        if (lastKnown.filter(ProcessHandle::isAlive).isPresent()) return lastKnown;
         try {
             return ProcessHandle.of(Long.parseLong(Files.readString(home.resolve("relay.pid")).split(" ")[0]));
         } catch (IOException | NumberFormatException e) {
@@ -67,9 +71,16 @@
         if (relay().isPresent()) signal(relay().get().pid(), still);
     }
 
-    /** The agent alone; its relay runs on. */
-    void killAgent() {
+    /** The agent alone; its relay runs on. {@code forgets}: its notes go as well, and the versions that it kept. */
+    void killAgent(boolean forgets) throws IOException {
         agent.destroyForcibly();
+        if (!forgets) return;
+        lastKnown = relay();
+        agent.onExit().join(); // a moment after SIGKILL; it must not write them anew
+        for (String note : List.of("relay.pid", "agent.state")) Files.deleteIfExists(home.resolve(note));
+        try (Stream<Path> versions = Files.list(home.resolve("versions"))) {
+            for (Path version : versions.toList()) Files.delete(version);
+        }
     }
 
     @Override
--- a/src/main/java/sprucerock/rehearsal/Play.java
+++ b/src/main/java/sprucerock/rehearsal/Play.java
@@ -30,6 +30,7 @@
 import sprucerock.standin.Site;
 import sprucerock.standin.SwitchStandIn;
 import sprucerock.standin.UnitStandIn;
+import sprucerock.standin.WayStandIn;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
 import sprucerock.tls.Workers;
@@ -96,6 +97,9 @@
     private RosterStandIn roster;
     private DeskStandIn desk;
     private SwitchStandIn between;
+    /** From each relay and each agent to the real controller. */
+    private final List<WayStandIn> relaysWays = new ArrayList<>();
+    private final List<WayStandIn> agentsWays = new ArrayList<>();
     private int lastBuild = FIRST_BUILD;
     private int lastUnit;
     private Moment begun;
@@ -239,7 +243,7 @@
             ports.put(i, port);
             ways.put(i, between.port(i, new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
         }
-        if (day.changeWatch != null) agents = new Agents(folder, RelayXml.template(day, rosterPort, deskPort, day.peers ? ways : Map.of()));
+        if (day.changeWatch != null) agents = new Agents(folder, RelayXml.template(day, rosterPort, day.peers ? ways : Map.of()));
         if (day.realController) {
             controller = new RealController(folder.resolve("controller"), site, FIRST_BUILD, firstUnits.size(), new int[] {deskPort, freePort(), freePort()},
                 agents == null ? "" : agents.controllerXml(agentsPort, day), builds -> loop.post(() -> fleet(builds)));
@@ -249,12 +253,13 @@
             Map<Integer, Integer> others = new TreeMap<>(ways);
             others.remove(i);
             scraped.add(freePort());
-            RelayXml.write(folder.resolve("relay-" + i + ".xml"), day, i, ports.get(i), scraped.get(i), rosterPort, deskPort,
+            int desksPort = controller == null ? deskPort : way(relaysWays, deskPort);
+            RelayXml.write(folder.resolve("relay-" + i + ".xml"), day, i, ports.get(i), scraped.get(i), rosterPort, desksPort,
                 day.peers ? others : Map.of());
             relays.add(agents == null ? new RelayProcess(i, folder) : new AgentProcess(i, folder));
             if (agents != null) {
-                agents.writeAgent(i, i % 2, agentsPort, List.of(new String[] {"number", "" + i}, new String[] {"seed", "" + (day.seed * 1000 + i)},
-                    new String[] {"port", "" + ports.get(i)}, new String[] {"scraped", "" + scraped.get(i)},
+                agents.writeAgent(i, i % 2, way(agentsWays, agentsPort), List.of(new String[] {"number", "" + i}, new String[] {"seed", "" + (day.seed * 1000 + i)},
+                    new String[] {"port", "" + ports.get(i)}, new String[] {"scraped", "" + scraped.get(i)}, new String[] {"desk", "" + desksPort},
                     new String[] {"figures", folder.resolve("relay-" + i + ".figures").toAbsolutePath().toString()}));
             }
             List<ClientStandIn> own = new ArrayList<>();
@@ -268,6 +273,16 @@
         }
     }
 
+    private int way(List<WayStandIn> among, int port) throws IOException {
+        WayStandIn made = new WayStandIn(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), chance.nextLong());
+        among.add(made);
+        return made.start();
+    }
+
+    void ways(boolean ofAgents, int first, int last, java.util.function.Consumer<WayStandIn> what) {
+        (ofAgents ? agentsWays : relaysWays).subList(first, last + 1).forEach(what);
+    }
+
     /** Below those that systems give to connections that go out: one of these may be taken before who it is for can listen there. */
     private static int freePort() throws IOException {
         for (int tries = 0; tries < PORTS; tries++) {
@@ -387,11 +402,18 @@
         controller.propose(main == null ? null : agents.program(main), limits == null ? null : agents.settings(limits));
     }
 
-    void agentDown(int relay, boolean down) {
-        AgentProcess agent = (AgentProcess) relays.get(relay);
+    /** {@code forgets}: all that it noted is gone when it comes back. */
+    void agentDown(int relay, boolean forgets) {
+        try {
+            ((AgentProcess) relays.get(relay)).killAgent(forgets);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    void agentUp(int relay) {
         try {
-            if (down) agent.killAgent();
-            else agent.start();
+            relays.get(relay).start();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -611,6 +633,14 @@
         relays.get(relay).kill();
     }
 
+    /** So many of all, drawn from the day's seed. */
+    List<Integer> someRelays(double share) {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < relays.size(); i++) all.add(i);
+        for (int i = all.size(); i > Math.round(share * relays.size()); i--) all.remove(chance.nextInt(all.size()));
+        return all;
+    }
+
     void relayUp(int relay) {
         RelayProcess process = relays.get(relay);
         if (agents != null) return; // its agent starts it again
--- a/src/main/java/sprucerock/rehearsal/RelayXml.java
+++ b/src/main/java/sprucerock/rehearsal/RelayXml.java
@@ -16,20 +16,20 @@
     static void write(Path file, Script day, int number, int port, int figures, int roster, int desk, Map<Integer, Integer> peers)
         throws IOException {
         Path kept = file.resolveSibling("relay-" + number + ".figures").toAbsolutePath();
-        Files.writeString(file, text(day, "" + number, "" + (day.seed * 1000 + number), "" + port, kept.toString(), "" + figures, roster, desk, peers,
+        Files.writeString(file, text(day, "" + number, "" + (day.seed * 1000 + number), "" + port, kept.toString(), "" + figures, roster, "" + desk, peers,
             file.resolveSibling("tls").toAbsolutePath()));
     }
 
     /** The same for all relays, with places for what is each one's own; each has itself among the peers. */
-    static String template(Script day, int roster, int desk, Map<Integer, Integer> peers) {
-        return text(day, "${number}", "${seed}", "${port}", "${figures}", "${scraped}", roster, desk, peers, Path.of("tls"));
+    static String template(Script day, int roster, Map<Integer, Integer> peers) {
+        return text(day, "${number}", "${seed}", "${port}", "${figures}", "${scraped}", roster, "${desk}", peers, Path.of("tls"));
     }
 
-    private static String text(Script day, String number, String seed, String port, String kept, String figures, int roster, int desk, Map<Integer, Integer> peers, Path tls) {
+    private static String text(Script day, String number, String seed, String port, String kept, String figures, int roster, String desk, Map<Integer, Integer> peers, Path tls) {
         StringBuilder xml = new StringBuilder("<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n");
         xml.append(String.format(Locale.ROOT, "<relay xmlns=\"urn:sprucerock:relay:1\" name=\"relay-%s\" number=\"%s\" seed=\"%s\">%n",
             number, number, seed));
-        xml.append(address("listen", port, "")).append(address("roster", "" + roster, "")).append(address("desk", "" + desk, ""));
+        xml.append(address("listen", port, "")).append(address("roster", "" + roster, "")).append(address("desk", desk, ""));
         peers.forEach((other, at) -> xml.append(address("peer", "" + at, " number=\"" + other + "\" name=\"" + Secure.relayName(other) + "\"")));
         xml.append("  <limits/>\n  <connections/>\n  <figures file=\"" + kept + "\" host=\"127.0.0.1\" port=\"" + figures + "\"/>\n");
         if (day.tls) {
--- a/src/main/java/sprucerock/rehearsal/Script.java
+++ b/src/main/java/sprucerock/rehearsal/Script.java
@@ -16,6 +16,7 @@
 import sprucerock.standin.ClientStandIn.Manners;
 import sprucerock.standin.Secure;
 import sprucerock.standin.Site;
+import sprucerock.standin.WayStandIn;
 import sprucerock.time.Span;
 
 /** A day as its script has it, checked; what it leaves out has the values below. */
@@ -493,7 +494,41 @@
         public Void visitAgentIll(DayParser.AgentIllContext c) {
             if (changeWatch == null) throw wrong(c, "the day has no agents; a line such as \"agents watch 5s\" gives it some");
             int relay = whole(c.INT().getSymbol(), relays - 1);
-            return lasting(c.SPAN().getSymbol(), play -> play.agentDown(relay, true), play -> play.agentDown(relay, false));
+            boolean forgets = c.forgets != null;
+            return lasting(c.SPAN().getSymbol(), play -> play.agentDown(relay, forgets), play -> play.agentUp(relay));
+        }
+
+        @Override
+        public Void visitWaysIll(DayParser.WaysIllContext c) {
+            if (!realController) throw wrong(c, "ways lead to the real controller; a line \"controller real\" gives the day one");
+            boolean ofAgents = c.whose.getText().equals("agents");
+            if (ofAgents && changeWatch == null) throw wrong(c, "the day has no agents; a line such as \"agents watch 5s\" gives it some");
+            int first = c.first == null ? 0 : relay(c.first);
+            int last = c.last != null ? relay(c.last) : c.first != null ? first : relays - 1;
+            if (first > last) throw wrong(c, "from " + first + " to " + last + " there is none");
+            WayIll ill = wayIll(c.wayIll());
+            return lasting(c.length, play -> play.ways(ofAgents, first, last, way -> ill.set(way, true)),
+                play -> play.ways(ofAgents, first, last, way -> ill.set(way, false)));
+        }
+
+        private interface WayIll {
+            void set(WayStandIn way, boolean on);
+        }
+
+        private WayIll wayIll(DayParser.WayIllContext c) {
+            String direction = c.getChildCount() > 1 ? c.getChild(1).getText() : "";
+            return switch (c.getStart().getText()) {
+                case "cut" -> (way, on) -> way.cut(on && !direction.equals("back"), on && !direction.equals("there"));
+                case "late" -> {
+                    Span by = span(c.SPAN().getSymbol());
+                    yield (way, on) -> way.late(on ? by : Span.ZERO);
+                }
+                case "losing" -> {
+                    double share = share(c.PERCENT().getSymbol());
+                    yield (way, on) -> way.lose(on ? share : 0);
+                }
+                default -> WayStandIn::reset;
+            };
         }
 
         @Override
@@ -569,6 +604,17 @@
             };
         }
 
+        @Override
+        public Void visitRelaysDown(DayParser.RelaysDownContext c) {
+            double share = share(c.PERCENT().getSymbol());
+            boolean killed = c.how.getText().equals("killed");
+            List<Integer> those = new ArrayList<>();
+            return lasting(c.SPAN().getSymbol(), play -> {
+                those.addAll(play.someRelays(share));
+                for (int relay : those) play.relayDown(relay, killed);
+            }, play -> those.forEach(play::relayUp));
+        }
+
         @Override
         public Void visitBurst(DayParser.BurstContext c) {
             double times = factor(c.number());
--- a/src/main/java/sprucerock/versions/Vault.java
+++ b/src/main/java/sprucerock/versions/Vault.java
@@ -13,6 +13,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Set;
@@ -27,6 +28,8 @@
 
     private final Path folder;
     private final long most;
+    /** Those whose bytes were looked at in this life. */
+    private final Set<String> whole = new HashSet<>();
 
     /**
      * {@code most}: bytes of one file that are taken.
@@ -41,8 +44,22 @@
         }
     }
 
+    /**
+     * Whether it is here, whole. The first time in a life all of it is read: what a crash tore, or somebody changed, is taken away, and
+     * counts as missing. So does what can't be read; whoever then brings it in is told why the disk refuses.
+     */
     public boolean has(String digest) {
-        return Files.exists(path(digest));
+        Path file = path(digest);
+        if (!Files.exists(file)) return false;
+        if (whole.contains(digest)) return true;
+        try {
+            boolean right = digest(file).equals(digest);
+            if (right) whole.add(digest);
+            else Files.delete(file);
+            return right;
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     /** Where it is, or would be. */
@@ -67,6 +84,7 @@
             channel.force(true);
         }
         Files.move(part, path(digest), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        whole.add(digest);
     }
 
     public static String digest(Path file) throws IOException {
@@ -149,10 +167,15 @@
         }
         found.sort(Comparator.comparing(Vault::age).reversed());
         for (int i = newest; i < found.size(); i++) {
-            if (!needed.contains(found.get(i).getFileName().toString())) Files.delete(found.get(i));
+            if (!needed.contains(found.get(i).getFileName().toString())) forget(found.get(i));
         }
     }
 
+    private void forget(Path file) throws IOException {
+        whole.remove(file.getFileName().toString());
+        Files.delete(file);
+    }
+
     private static java.nio.file.attribute.FileTime age(Path file) {
         try {
             return Files.getLastModifiedTime(file);
--- a/src/test/java/sprucerock/agent/AgentTest.java
+++ b/src/test/java/sprucerock/agent/AgentTest.java
@@ -243,6 +243,27 @@
         assertEquals(agent.done(), 1);
     }
 
+    @Test
+    public void anAgentThatLostItsNotesLeavesARelayThatRunsWhatIsWanted() {
+        Agent agent = new Agent(stage, TIMES, Memory.NONE);
+        agent.adopted(NEW, 3);
+        agent.begin();
+        agent.wants(7, 3, NEW);
+        assertEquals(stage.did, List.of());
+        assertEquals(agent.done(), 3);
+        agent.wants(7, 4, NEW); // what was not carried out still is
+        assertEquals(stage.did, List.of("terminate"));
+    }
+
+    @Test
+    public void anAgentThatLostItsNotesCarriesOutWhatItsRelayWasNotStartedFor() {
+        Agent agent = new Agent(stage, TIMES, Memory.NONE);
+        agent.adopted(OLD, 3);
+        agent.begin();
+        agent.wants(7, 3, NEW);
+        assertEquals(stage.did, List.of("terminate"));
+    }
+
     @Test
     public void whatASignalCanTakeOverNeedsNoRestart() {
         Agent agent = running(OLD);
--- a/src/test/java/sprucerock/rehearsal/ChangeDayTest.java
+++ b/src/test/java/sprucerock/rehearsal/ChangeDayTest.java
@@ -52,6 +52,23 @@
         assertTrue(report.contains("at the end each relay runs what the controller says"), report);
     }
 
+    @Test
+    public void aChangeGoesBackThoughOneDirectionIsCutThenTheOtherThenAllIsReset() throws Exception {
+        String report = play("40s", """
+            at 2s change program "sprucerock.rehearsal.EndsAtOnce"
+            at 3s ways of agents cut there for 4s
+            at 9s ways of agents cut back for 4s
+            at 15s ways of agents 0 to 1 reset for 1s
+            at 17s ways of relays losing 30% for 4s
+            at 18s ways of agents late 400ms for 4s
+            at 25s agent 2 killed forgets for 1s
+            """);
+        assertTrue(report.contains("going back, stage 0: "), report);
+        assertTrue(report.contains("given up, stage 0: all are back"), report);
+        assertEquals(report.split("moving, stage").length, 2, "it went past its first stage\n" + report);
+        assertTrue(report.contains("at the end each relay runs what the controller says"), report);
+    }
+
     @Test
     public void settingsThatNobodyCanReadMoveNobody() throws Exception {
         String report = play("12s", "at 2s change settings \"open=0\"\n");
--- a/src/test/java/sprucerock/rehearsal/ScriptTest.java
+++ b/src/test/java/sprucerock/rehearsal/ScriptTest.java
@@ -43,6 +43,8 @@
             {"customer north 40%\n", "the shares of the customers add up to 40%, not 100%"},
             {"lasts 9\n", "d:6:7: mismatched input '9' expecting SPAN"},
             {"at 1s unit 0 certificate expired for 2s\n", "d:6:14: the day has no TLS; a line \"tls\" gives it some"},
+            {"at 1s ways of relays cut for 2s\n", "d:6:7: ways lead to the real controller; a line \"controller real\" gives the day one"},
+            {"controller real\nat 1s ways of relays 1 to 0 reset for 2s\n", "d:7:7: from 1 to 0 there is none"},
             {"relays 51\n", "d:6:8: 51 is more than 50"},
             {"at 1s traffic times 0 for 2s\n", "a factor is above 0"},
             {"seed 4 €\n", "d:6:8: "},
