--- a/src/main/java/sprucerock/rehearsal/Rehearsal.java
+++ b/src/main/java/sprucerock/rehearsal/Rehearsal.java
@@ -6,7 +6,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import sprucerock.judge.Judge;
+import sprucerock.recovery.Meter;
+import sprucerock.trace.Line;
 
 /** A day from its script to its report. */
 public final class Rehearsal {
@@ -32,11 +35,20 @@
         List<FleetBook.Entry> fleet = FleetBook.hold(folder);
         balanced &= fleet.stream().allMatch(entry -> entry.unexplained() == 0);
         balanced &= play.monitor().scrapes() > 0 && play.monitor().wrong().isEmpty();
-        String report = Report.of(play, verdict, books, fleet, play.controller() == null ? List.of() : Follow.deliveries(play, folder));
+        String report = Report.of(play, verdict, books, fleet, returns(play, folder), play.controller() == null ? List.of() : Follow.deliveries(play, folder));
         Files.writeString(folder.resolve("report.txt"), report);
         out.print(report);
         out.println();
         out.println("traces, logs and this report: " + folder);
         return play.controllerEnded && play.strays.isEmpty() && verdict.kept() && balanced && play.relays().stream().allMatch(relay -> relay.badEnds() == 0);
     }
+
+    /** How the day came back from what befell its processes, from the traces of stand-ins and relays. */
+    private static List<Meter.Return> returns(Play play, Path folder) throws IOException {
+        Meter meter = new Meter(play.day().site().methods().stream().map(method -> new Meter.Method(method.soft().ms(), method.utility())).toList());
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.filter(one -> one.toString().endsWith(".trace")).sorted().toList()) Line.read(file).forEach(meter::line);
+        }
+        return meter.returns();
+    }
 }
--- a/src/main/java/sprucerock/rehearsal/Report.java
+++ b/src/main/java/sprucerock/rehearsal/Report.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import sprucerock.judge.Finding;
 import sprucerock.judge.Judge;
+import sprucerock.recovery.Meter;
 import sprucerock.standin.ClientStandIn.End;
 import sprucerock.standin.DeskStandIn;
 import sprucerock.standin.Site;
@@ -19,7 +20,7 @@
 
     private Report() {}
 
-    static String of(Play play, Judge.Verdict verdict, List<List<SecondBook.Entry>> books, List<FleetBook.Entry> fleet, List<String> followed) {
+    static String of(Play play, Judge.Verdict verdict, List<List<SecondBook.Entry>> books, List<FleetBook.Entry> fleet, List<Meter.Return> returns, List<String> followed) {
         StringBuilder text = new StringBuilder();
         Script day = play.day();
         line(text, "");
@@ -37,6 +38,11 @@
         }
         service(text, play);
         troubles(text, play);
+        if (!returns.isEmpty()) {
+            line(text, "");
+            line(text, "coming back: seconds until 95%% of the worth a second before is served in time again for 2 s; 10 s of each looked at");
+            for (Meter.Return one : returns) line(text, "  %s", one);
+        }
         line(text, "");
         line(text, "relays");
         for (int i = 0; i < play.relays().size(); i++) {
--- a/src/test/java/sprucerock/ArchitectureTest.java
+++ b/src/test/java/sprucerock/ArchitectureTest.java
@@ -48,7 +48,8 @@
             {"agent", "time model stats ledger figures change config net net.nio versions wire wire.v1"},
             {"desk", "time net net.nio config change compare versions controller controller.v1 wire wire.v1"},
             {"standin", "time stats net tls trace wire wire.v1"},
-            {"rehearsal", "time net net.nio tls trace judge figures ledger desk standin wire wire.v1"},
+            {"recovery", "trace wire wire.v1"},
+            {"rehearsal", "time net net.nio tls trace judge recovery figures ledger desk standin wire wire.v1"},
         };
     }
 
