The judge knows a stall that is noted behind the answer it made late

The relay had been started half a second before; its loop stood still for 112.963 ms, noted in line 216, and the answer in line 214 was written in the same turn, before the note. RelayJudge.judge read notes and frames in one go, so stalledSince knew nothing of that one. Ruled out: the relay's timer (the answer is the first frame it writes after the stall) and a queue (pushed back, never picked).

Change: notes of stalls are read first, and a stall excuses only what of it lies between call and answer; before, one that overlapped at all counted in full. Two stories, one for each.

--- a/src/main/java/sprucerock/judge/RelayJudge.java
+++ b/src/main/java/sprucerock/judge/RelayJudge.java
@@ -85,10 +85,11 @@
     }
 
     void judge(List<Line> lines) {
+        // all of them first: what the loop does once it moves again stands before the note that it stood still
+        for (Line line : lines) if (line.isNote("STALL")) stalls.add(new long[] {line.us(), Long.parseLong(line.text())});
         for (Line line : lines) {
             last = line;
-            if (line.isNote("STALL")) stalls.add(new long[] {line.us(), Long.parseLong(line.text())});
-            else if (line.isNote("END")) finished = true;
+            if (line.isNote("END")) finished = true;
             else if (line.way() == 'x') closed(line);
             else if (line.is('<', Kind.CALL)) call(line, line.head(Call.getDefaultInstance()));
             else if (line.is('<', Kind.LEAVE)) leave(line, line.head(Leave.getDefaultInstance()));
@@ -172,7 +173,7 @@
     private long stalledSince(long fromUs, long toUs) {
         long sum = 0;
         for (long[] stall : stalls) {
-            if (stall[0] >= fromUs && stall[0] - stall[1] <= toUs) sum += stall[1];
+            sum += Math.max(0, Math.min(stall[0], toUs) - Math.max(stall[0] - stall[1], fromUs));
         }
         return sum;
     }
--- a/src/test/java/sprucerock/judge/JudgeTest.java
+++ b/src/test/java/sprucerock/judge/JudgeTest.java
@@ -197,6 +197,23 @@
         kept();
     }
 
+    @Test
+    public void rule1AnswerInTheTurnAfterAStallWhoseNoteComesBehindIt() {
+        call(10, 1, READ);
+        answer(1060, 1, "ABORTED");
+        line(relay, 1061, "relay-0", 0, "-", "!", "STALL", "", "40000");
+        kept();
+    }
+
+    @Test
+    public void rule1AStallOfAnotherTimeExcusesNothing() {
+        line(relay, 9, "relay-0", 0, "-", "!", "STALL", "", "400000");
+        call(10, 1, READ);
+        answer(1060, 1, "ABORTED");
+        line(relay, 1500, "relay-0", 0, "-", "!", "STALL", "", "400000");
+        broken(1, "past its deadline");
+    }
+
     @Test
     public void rule1OkThatNoUnitSaid() {
         call(10, 1, READ);
