--- a/src/main/java/sprucerock/agent/Station.java
+++ b/src/main/java/sprucerock/agent/Station.java
@@ -122,7 +122,7 @@
 
     private void failed(Version version, String how) {
         if (failures.size() >= MOST_FAILURES) failures.removeFirst();
-        failures.addLast(Failure.newBuilder().setProgram(version.program()).setSettings(version.settings()).setHow(how).build());
+        failures.addLast(Failure.newBuilder().setProgram(version.program()).setSettings(version.settings()).setHow(how).setTurn(agent.memory().turn()).build());
         changed();
     }
 
--- a/src/main/java/sprucerock/change/Changes.java
+++ b/src/main/java/sprucerock/change/Changes.java
@@ -168,11 +168,16 @@
         settle(now);
     }
 
-    /** A relay ended by itself, did not get ready or went over a limit, on that version; {@code how} is for people. */
-    public void failed(int number, Version version, String how, Moment now, long wall) {
+    /**
+     * A relay ended by itself, did not get ready or went over a limit, on that version; {@code how} is for people. {@code turn}: the last
+     * that its agent had been told by then, 0 where it does not know. Agents tell a controller that starts what they told the last one:
+     * a failure from before this change is none of its, though it may be of the same version, proposed again.
+     */
+    public void failed(int number, Version version, int turn, String how, Moment now, long wall) {
         wallMs = wall;
         Change under = under();
-        boolean ours = under != null && under.state != State.GOING_BACK && version.equals(under.to) && under.moved.contains(number);
+        boolean ours = under != null && under.state != State.GOING_BACK && version.equals(under.to) && under.moved.contains(number)
+            && (turn == 0 || turn >= relays.get(number).turn);
         if (ours) goBack(under, "relay " + number + " " + how, now);
         settle(now);
     }
--- a/src/main/java/sprucerock/controller/ChangeCodec.java
+++ b/src/main/java/sprucerock/controller/ChangeCodec.java
@@ -32,7 +32,7 @@
             case AGENT -> core.says(input.getAgent().getRelay(), input.getAgent().getZone(), input.getAgent().getBusy(), version(input.getAgent().getRuns()),
                 input.getAgent().getReady(), input.getAgent().getDone(), now, wall);
             case SILENT -> core.silent(input.getSilent().getRelay(), now, wall);
-            case FAILED -> core.failed(input.getFailed().getRelay(), version(input.getFailed().getVersion()), input.getFailed().getHow(), now, wall);
+            case FAILED -> core.failed(input.getFailed().getRelay(), version(input.getFailed().getVersion()), input.getFailed().getTurn(), input.getFailed().getHow(), now, wall);
             case CHECKED -> core.checked(input.getChecked().getRelay(), input.getChecked().getChange(), input.getChecked().getRefusal(), now, wall);
             case JUDGED -> core.judged(input.getJudged().getChange(), input.getJudged().getStage(), Verdict.valueOf(input.getJudged().getVerdict()),
                 input.getJudged().getReason(), now, wall);
--- a/src/main/java/sprucerock/desk/AgentsDoor.java
+++ b/src/main/java/sprucerock/desk/AgentsDoor.java
@@ -217,7 +217,8 @@
                 for (Failure one : says.getFailuresList()) {
                     log.warn("FAILED relay {} {}", number, one.getHow());
                     Version version = new Version(one.getProgram(), one.getSettings());
-                    desk.submit(Input.newBuilder().setFailed(Failed.newBuilder().setRelay(number).setVersion(version(version)).setHow(one.getHow())), outcome -> { });
+                    desk.submit(Input.newBuilder().setFailed(Failed.newBuilder().setRelay(number).setVersion(version(version)).setHow(one.getHow())
+                        .setTurn(one.getTurn())), outcome -> { });
                 }
                 for (Readable one : says.getReadablesList()) {
                     desk.submit(Input.newBuilder().setChecked(Checked.newBuilder().setRelay(number).setChange(one.getChange()).setRefusal(one.getRefusal())), outcome -> { });
--- a/src/test/java/sprucerock/change/ChangesProperties.java
+++ b/src/test/java/sprucerock/change/ChangesProperties.java
@@ -80,7 +80,7 @@
                 case 1 -> changes.says(number, relay.zone(), relay.busy(), relay.runs(), false, relay.done(), at(), 0);
                 case 2 -> {
                     if (under == null || random.nextInt(4) > 0) return;
-                    changes.failed(number, random.nextBoolean() ? under.to : under.from, "ended with code 1", at(), 0);
+                    changes.failed(number, random.nextBoolean() ? under.to : under.from, 0, "ended with code 1", at(), 0);
                 }
                 case 3 -> {
                     if (under == null) return;
--- a/src/test/java/sprucerock/change/ChangesTest.java
+++ b/src/test/java/sprucerock/change/ChangesTest.java
@@ -139,11 +139,28 @@
         Change change = fleet.propose();
         int first = change.moved().iterator().next();
         fleet.says(first, NEW, false);
-        fleet.changes.failed(first, NEW, "ended with code 3", fleet.at(), 0);
+        fleet.changes.failed(first, NEW, 0, "ended with code 3", fleet.at(), 0);
         assertEquals(change.state(), State.GOING_BACK);
         fleet.obey();
         assertEquals(change.state(), State.GIVEN_UP);
-        fleet.changes.failed(5, OLD, "was killed for memory", fleet.at(), 0); // an old one's end is no fault of a change
+        fleet.changes.failed(5, OLD, 0, "was killed for memory", fleet.at(), 0); // an old one's end is no fault of a change
+    }
+
+    @Test
+    public void aFailureThatIsToldAgainDoesNotStopTheSameVersionProposedAnew() {
+        Fleet fleet = new Fleet(20);
+        Change change = fleet.propose();
+        int first = change.moved().iterator().next();
+        int turn = fleet.changes.relay(first).turn();
+        fleet.changes.failed(first, NEW, turn, "the disk was full", fleet.at(), 0);
+        fleet.obey();
+        assertEquals(change.state(), State.GIVEN_UP);
+        Change again = fleet.propose();
+        assertTrue(again.moved().contains(first), "the story needs the same relay first");
+        fleet.changes.failed(first, NEW, turn, "the disk was full", fleet.at(), 0); // a controller that started is told once more
+        assertTrue(again.state() == State.MOVING || again.state() == State.WATCHED, again.state().toString());
+        fleet.changes.failed(first, NEW, fleet.changes.relay(first).turn(), "ended with code 3", fleet.at(), 0);
+        assertEquals(again.state(), State.GOING_BACK);
     }
 
     @Test
@@ -170,7 +187,7 @@
         Relay relay = fleet.changes.relay(first);
         fleet.changes.says(first, relay.zone(), relay.busy(), OLD, true, relay.done() - 1, fleet.at(), 0);
         fleet.wants.clear();
-        fleet.changes.failed(first, NEW, "ended with code 3", fleet.at(), 0);
+        fleet.changes.failed(first, NEW, 0, "ended with code 3", fleet.at(), 0);
         fleet.obey();
         assertEquals(change.state(), State.GIVEN_UP);
     }
--- a/src/test/java/sprucerock/controller/ChangeStudy.java
+++ b/src/test/java/sprucerock/controller/ChangeStudy.java
@@ -20,7 +20,8 @@
 /**
  * How often good changes are stopped and bad ones missed, at several sizes of a fleet: changes and watcher as they are, in simulated
  * time, over relays whose traffic, paces, zones, cold starts and troubles are drawn. Beside them three simpler ways on the same
- * fleets. Not a test: {@code main} prints the table of docs/change.md; arguments are how many good and how many bad changes.
+ * fleets. Not a test: {@code main} prints the table of docs/change.md; arguments are how many good and how many bad
+ * changes, and the most and the fewest relays.
  */
 final class ChangeStudy {
     private static final Version OLD = new Version("a".repeat(64), "0".repeat(64));
@@ -280,10 +281,11 @@
         int good = args.length > 0 ? Integer.parseInt(args[0]) : 200;
         int bad = args.length > 1 ? Integer.parseInt(args[1]) : 50;
         int most = args.length > 2 ? Integer.parseInt(args[2]) : 1000;
+        int least = args.length > 3 ? Integer.parseInt(args[3]) : 10;
         String[] names = {"side by side", "all at once", "fixed time a stage", "thresholds on averages"};
         System.out.printf("%-24s %6s %6s %8s %8s %10s %12s%n", "way", "relays", "harm", "stopped", "done", "median s", "worth lost s");
         for (int size : new int[] {10, 100, 300, 1000}) {
-            if (size > most) continue;
+            if (size > most || size < least) continue;
             for (double harm : new double[] {0, 0.01, 0.02, 0.05, 0.1}) {
                 int plays = harm == 0 ? good : bad;
                 for (int which = 0; which < names.length; which++) {
