--- a/src/main/antlr4/sprucerock/rehearsal/Day.g4
+++ b/src/main/antlr4/sprucerock/rehearsal/Day.g4
@@ -27,6 +27,8 @@
   | 'tls' everyone='everyone'? ('look' look=SPAN)? ('move' move=SPAN)? ('handshakes' INT '/s')? # tls
   | 'controller' 'real'                                                                     # realController
   | 'agents' 'watch' SPAN                                                                   # agents
+  | 'leases' 'granters' INT 'term' term=SPAN 'looks' looks=SPAN                              # leases
+  | 'racks' INT 'each' 'notice' SPAN                                                         # racks
   | 'at' SPAN trouble                                                                       # at
   ;
 
@@ -52,7 +54,9 @@
   | 'controller' how=('killed' | 'stalls') 'for' SPAN                                       # controllerIll
   | 'change' ('settings' settings=STRING)? ('program' program=STRING)?                     # change
   | 'agent' INT 'killed' (forgets='forgets')? 'for' SPAN                                   # agentIll
-  | 'ways' 'of' whose=('agents' | 'relays') (first=INT ('to' last=INT)?)? wayIll 'for' length=SPAN # waysIll
+  | 'ways' 'of' whose=('agents' | 'relays' | 'leases') (first=INT ('to' last=INT)?)? wayIll 'for' length=SPAN # waysIll
+  | 'freeze' NAME ('in' in=SPAN | 'at' 'once') 'lasts' length=SPAN                           # freeze
+  | 'freeze' INT 'called' 'off'                                                             # callOff
   | 'certificates' 'rotate'                                                                 # rotate
   | 'trust' 'rotates' 'within' SPAN                                                         # trustRotates
   | 'clients' 'rude' 'for' SPAN                                                             # rude
--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -575,6 +575,12 @@
         consider();
     }
 
+    /** A sign makes a sick unit worth its look at once; silence counts like that of a pick, so three in a row leave it alone. */
+    public void looked(Unit unit, boolean answered) {
+        if (!answered) note(unit, false);
+        else if (sick(unit)) unit.retryAt = host.now();
+    }
+
     public void peerTold(int sender, byte[] contents) {
         if (contents.length < 2) return;
         if (contents[0] == Board.PICK && contents.length == 4) added(contents);
--- a/src/main/java/sprucerock/cli/RelayCommand.java
+++ b/src/main/java/sprucerock/cli/RelayCommand.java
@@ -15,6 +15,7 @@
 import sprucerock.config.RelayConfig;
 import sprucerock.figures.Export;
 import sprucerock.figures.Keeper;
+import sprucerock.lease.Leases;
 import sprucerock.ledger.Accounts;
 import sprucerock.net.nio.NioLoop;
 import sprucerock.relay.Relay;
@@ -36,10 +37,21 @@
     @Option(names = "--log", paramLabel = "FORM", defaultValue = "plain", description = "plain or json")
     private String form;
 
-    /** What is true of TLS now. */
-    private static Map<String, Double> tls(Relay relay) {
+    /** What is true now of TLS and leases. */
+    private static Map<String, Double> now(Relay relay) {
+        Map<String, Double> all = new java.util.TreeMap<>();
         Long days = relay.tlsDaysLeft();
-        return days == null ? Map.of() : Map.of("tls_days_left", days.doubleValue(), "tls_files_broken", relay.tlsBroken() ? 1.0 : 0.0);
+        if (days != null) {
+            all.put("tls_days_left", days.doubleValue());
+            all.put("tls_files_broken", relay.tlsBroken() ? 1.0 : 0.0);
+        }
+        Leases.Figures leases = relay.leases();
+        if (leases != null) {
+            all.put("lease_taken", (double) leases.taken());
+            all.put("lease_lost", (double) leases.lost());
+            all.put("lease_held", (double) leases.held());
+        }
+        return all;
     }
 
     private volatile String inForce;
@@ -83,7 +95,8 @@
                 relay.set(new Relay(config, loop, trace == null ? Tap.NONE : tracing.get()));
                 Accounts accounts = relay.get().ledger().accounts();
                 keeper.set(Keeper.open(config.figures, accounts, () -> loop.atTurnsEnd(accounts::commit), relay.get()::figuresFile));
-                Workers aside = config.tls == null ? null : new Workers(config.tlsWorkers, config.tlsWorkWaiting, loop::post, relay.get()::broken);
+                boolean fits = config.leases != null && config.leases.fitsEvery() != null;
+                Workers aside = config.tls == null && !fits ? null : new Workers(Math.max(1, config.tlsWorkers), Math.max(1, config.tlsWorkWaiting), loop::post, relay.get()::broken);
                 relay.get().start(Policy::new, aside);
             } catch (IOException e) {
                 wrong.set(config.listen + " can't be listened at, or the trace can't be written: " + e.getMessage());
@@ -99,7 +112,7 @@
         }
         if (config.scrapedAt != null) {
             try {
-                new Export(keeper.get()::snapshot, relay.get()::drifting, keeper.get()::kept, () -> tls(relay.get()), config.scrapedAt);
+                new Export(keeper.get()::snapshot, relay.get()::drifting, keeper.get()::kept, () -> now(relay.get()), config.scrapedAt);
             } catch (IOException e) {
                 throw new IOException(config.scrapedAt + " can't be scraped at: " + e.getMessage());
             }
--- a/src/main/java/sprucerock/config/Node.java
+++ b/src/main/java/sprucerock/config/Node.java
@@ -39,12 +39,13 @@
     public static Node read(Path path, String schema) throws ConfigException {
         String file = path.toString();
         Reader reader = new Reader(file);
+        String where = Node.class.getResource(schema).toExternalForm(); // so that it can include others beside it
         try (InputStream xsd = Node.class.getResourceAsStream(schema); InputStream in = Files.newInputStream(path)) {
             SAXParserFactory factory = SAXParserFactory.newInstance();
             factory.setNamespaceAware(true);
             factory.setFeature("http://apache.org/xml/features/disallow-doctype-decl", true);
             factory.setSchema(SchemaFactory.newInstance(XMLConstants.W3C_XML_SCHEMA_NS_URI)
-                .newSchema(new StreamSource(xsd)));
+                .newSchema(new StreamSource(xsd, where)));
             factory.newSAXParser().parse(new InputSource(in), reader);
         } catch (SAXParseException e) {
             String what = e.getMessage().replaceFirst("^cvc-[^:]*: ", "").replaceAll("\\s+", " ");
--- a/src/main/java/sprucerock/config/RelayConfig.java
+++ b/src/main/java/sprucerock/config/RelayConfig.java
@@ -64,6 +64,14 @@
     public final int tlsWorkWaiting;
     /** The names that other relays' certificates have to carry, by their numbers. */
     public final Map<Integer, String> peerNames;
+    /** How often it asks until when it may place work on racks; null: nothing is ever frozen for it. */
+    public final Span racksEvery;
+    /** By how much of itself a clock may be off, the controller's and this one's each. */
+    public final double racksDrift;
+    /** The longest deadline of all methods: what is begun may run for so long. */
+    public final Span longestDeadline;
+    /** Leases of the fleet's tasks; null: none. */
+    public final LeaseConfig leases;
     public final Settings settings;
     /** By their places in the settings. */
     public final List<String> methodNames;
@@ -108,6 +116,15 @@
         figures = kept == null || !kept.has("file") ? null : Path.of(kept.text("file"));
         scrapedAt = kept == null || !kept.has("port") ? null : address(kept);
         strict = kept != null && kept.flag("strict");
+        Node racks = root.child("racks");
+        racksEvery = racks == null ? null : racks.span("ask-every");
+        racksDrift = racks == null ? 0 : racks.number("drift");
+        if (racks != null) atLeast(racks, "ask-every", Span.ofMs(10));
+        if (racksDrift >= 0.2) throw racks.wrong("drift is under 0.2: a share by which a clock may run fast or slow");
+        Span longest = Span.ZERO;
+        for (Node method : root.child("site").all("method")) longest = longest.atLeast(method.span("deadline"));
+        longestDeadline = longest;
+        leases = LeaseConfig.of(root.child("leases"), root.count("number"));
         Node site = root.child("site");
         int number = root.count("number");
         Settings.Draft draft = draft(site, number);
--- a/src/main/java/sprucerock/controller/Codec.java
+++ b/src/main/java/sprucerock/controller/Codec.java
@@ -6,6 +6,7 @@
 import sprucerock.controller.v1.Delivery;
 import sprucerock.controller.v1.Input;
 import sprucerock.controller.v1.State;
+import sprucerock.freeze.Freezes;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
@@ -14,7 +15,7 @@
     private Codec() {}
 
     /** What an input came to, for whoever brought it: an {@code Answer}, a {@code Taken}, an operator's refusal, or null. */
-    static Object apply(Releases core, Changes changes, Input input) {
+    static Object apply(Releases core, Changes changes, Freezes freezes, Input input) {
         Moment now = Moment.ofMs(input.getAtMs());
         long wall = input.getWallMs();
         Object answer = switch (input.getWhatCase()) {
@@ -31,6 +32,7 @@
             case TICK -> {
                 core.tick(now, wall);
                 changes.tick(now, wall);
+                FreezeCodec.apply(freezes, input);
                 yield null;
             }
             case RESTARTED -> {
@@ -42,18 +44,21 @@
                 core.delivered(input.getDelivered().getSequence());
                 yield null;
             }
+            case FREEZE, FREEZE_WORD, FREEZE_CLEARED, RACK, WORTH -> FreezeCodec.apply(freezes, input);
             default -> ChangeCodec.apply(changes, input);
         };
         // relays that judge a build are not restarted meanwhile
         Release.Standing standing = core.present.standing;
         boolean releasing = standing == Release.Standing.STARTING || standing == Release.Standing.ON_TRIAL || standing == Release.Standing.GOING_BACK;
         if (releasing != changes.releasing()) changes.releasing(releasing, now, wall);
+        // nor are its units counted on where racks are to be spared
+        freezes.onTrial(releasing ? core.share(core.present) : 0, freezes.later(wall));
         return answer;
     }
 
-    static State write(Releases core, Changes changes, long atMs) {
+    static State write(Releases core, Changes changes, Freezes freezes, long atMs) {
         State.Builder state = State.newBuilder().setAtMs(atMs).setSequence(core.sequence).setDelivered(core.delivered).setPresent(core.present.build)
-            .setEarlier(core.earlier).setEpoch(core.epoch).setChanges(ChangeCodec.write(changes));
+            .setEarlier(core.earlier).setEpoch(core.epoch).setChanges(ChangeCodec.write(changes)).setFreezes(FreezeCodec.write(freezes));
         for (Release one : core.releases.values()) {
             sprucerock.controller.v1.Release.Builder release = sprucerock.controller.v1.Release.newBuilder().setBuild(one.build).setArtifact(one.artifact)
                 .setStanding(one.standing.name()).setStage(one.stage).setSinceMs(ms(one.since)).setHeldMs((long) one.heldFor.ms()).setHeld(one.held)
@@ -83,7 +88,8 @@
         return Math.round(moment.ms());
     }
 
-    static void read(State state, Releases core, Changes changes) {
+    static void read(State state, Releases core, Changes changes, Freezes freezes) {
+        FreezeCodec.read(state.getFreezes(), freezes);
         ChangeCodec.read(state.getChanges(), changes);
         core.releases.clear();
         core.sequence = state.getSequence();
--- a/src/main/java/sprucerock/controller/Engine.java
+++ b/src/main/java/sprucerock/controller/Engine.java
@@ -13,6 +13,7 @@
 import sprucerock.controller.v1.Restarted;
 import sprucerock.controller.v1.State;
 import sprucerock.controller.v1.Tick;
+import sprucerock.freeze.Freezes;
 import sprucerock.time.Moment;
 
 /**
@@ -40,6 +41,7 @@
     private final Consumer<String> say;
     private final Releases core;
     private final Changes changes;
+    private final Freezes freezes;
     private final List<Waiting> waiting = new ArrayList<>();
     private boolean replaying = true;
     private long lastAtMs;
@@ -49,10 +51,19 @@
     private BooleanSupplier mayAct = () -> true;
     private String failed;
     private boolean lost;
+    private double wall;
+    private long wallAsOf = -1;
 
-    /** {@code say} is told in one line what is the matter with the disk. */
+    /** One of a fleet without racks. */
+    Engine(Disk disk, int snapshotEvery, Rules rules, int places, int first, Plan plan, Clock clock, Releases.Host host, Changes.Host ofChanges,
+        Consumer<String> say) {
+        this(disk, snapshotEvery, rules, places, first, plan, clock, host, ofChanges, Freezes.none(), say);
+    }
+
+    /** {@code say} is told in one line what is the matter with the disk. {@code freezes}: empty ones, told nothing yet. */
     Engine(Disk disk, int snapshotEvery, Rules rules, int places, int first, Plan plan, Clock clock, Releases.Host host,
-        Changes.Host ofChanges, Consumer<String> say) {
+        Changes.Host ofChanges, Freezes freezes, Consumer<String> say) {
+        this.freezes = freezes;
         store = new Store(disk, snapshotEvery);
         this.clock = clock;
         this.say = say;
@@ -74,8 +85,8 @@
 
     /** One that keeps its files in a folder of the machine's. */
     public static Engine in(java.nio.file.Path folder, Rules rules, int places, int first, Plan plan, Clock clock, Releases.Host host, Changes.Host ofChanges,
-        Consumer<String> say) throws IOException {
-        return new Engine(new FileDisk(folder), SNAPSHOT_EVERY, rules, places, first, plan, clock, host, ofChanges, say);
+        Freezes freezes, Consumer<String> say) throws IOException {
+        return new Engine(new FileDisk(folder), SNAPSHOT_EVERY, rules, places, first, plan, clock, host, ofChanges, freezes, say);
     }
 
     /**
@@ -93,7 +104,7 @@
         store.open(new Store.Reader() {
             @Override
             public void state(State state) {
-                Codec.read(state, core, changes);
+                Codec.read(state, core, changes, freezes);
                 lastAtMs = state.getAtMs();
                 lastWallMs = state.getWallMs();
                 before[0] = true;
@@ -103,12 +114,12 @@
             public void input(Input input) {
                 lastAtMs = input.getAtMs();
                 lastWallMs = input.getWallMs();
-                Codec.apply(core, changes, input);
+                Codec.apply(core, changes, freezes, input);
                 before[0] = true;
             }
         }, say);
         // files of its own from here on: what a controller that was replaced still writes into the old ones is never read
-        if (before[0]) store.snapshot(Codec.write(core, changes, lastAtMs).toBuilder().setWallMs(lastWallMs).build());
+        if (before[0]) store.snapshot(Codec.write(core, changes, freezes, lastAtMs).toBuilder().setWallMs(lastWallMs).build());
         long wall = clock.wallMs();
         long down = before[0] ? wall - lastWallMs : 0;
         atStart = lastAtMs + Math.max(0, Math.min(down, 24 * 3_600_000L));
@@ -119,7 +130,30 @@
         store.force();
         back.run();
         replaying = false; // what this leads to is news
-        Codec.apply(core, changes, stamped);
+        Codec.apply(core, changes, freezes, stamped);
+    }
+
+    public Freezes freezes() {
+        return freezes;
+    }
+
+    /** Whether what is done now, after a restart, is news; before, it happened in a former life. */
+    public boolean replaying() {
+        return replaying;
+    }
+
+    /** The wall's clock as freezes go by it: with this life's steady clock, and by half a hundredth of it towards the machine's, which may jump. */
+    public long wallMs() {
+        long steady = clock.steadyMs();
+        if (wallAsOf < 0) {
+            wall = clock.wallMs();
+        } else {
+            double passed = steady - wallAsOf;
+            wall += passed;
+            wall += Math.max(-0.005 * passed, Math.min(0.005 * passed, clock.wallMs() - wall));
+        }
+        wallAsOf = steady;
+        return Math.round(wall);
     }
 
     public Changes changes() {
@@ -141,7 +175,7 @@
 
     private Input stamped(Input.Builder input) {
         lastAtMs = atMs();
-        lastWallMs = clock.wallMs();
+        lastWallMs = wallMs();
         return input.setAtMs(lastAtMs).setWallMs(lastWallMs).build();
     }
 
@@ -168,7 +202,7 @@
             waiting.clear();
             return;
         }
-        if ((core.due(now()) || changes.due(now())) && waiting.isEmpty()) submit(Input.newBuilder().setTick(Tick.getDefaultInstance()), outcome -> { });
+        if ((core.due(now()) || changes.due(now()) || freezes.due(wallMs())) && waiting.isEmpty()) submit(Input.newBuilder().setTick(Tick.getDefaultInstance()), outcome -> { });
         if (waiting.isEmpty()) return;
         List<Waiting> turn = List.copyOf(waiting);
         waiting.clear();
@@ -190,7 +224,7 @@
         if (kept == turn.size()) failed = null;
         for (int i = 0; i < turn.size(); i++) {
             Waiting one = turn.get(i);
-            one.done.accept(i < kept ? new Outcome(Codec.apply(core, changes, one.input.build()), null) : new Outcome(null, failed));
+            one.done.accept(i < kept ? new Outcome(Codec.apply(core, changes, freezes, one.input.build()), null) : new Outcome(null, failed));
         }
         if (kept > 0 && store.full()) snapshot();
     }
@@ -215,7 +249,7 @@
 
     private void snapshot() {
         try {
-            store.snapshot(Codec.write(core, changes, lastAtMs).toBuilder().setWallMs(lastWallMs).build());
+            store.snapshot(Codec.write(core, changes, freezes, lastAtMs).toBuilder().setWallMs(lastWallMs).build());
         } catch (IOException e) {
             complain("no snapshot: " + e.getMessage()); // the inputs are there: it is tried again with the next
         }
--- a/src/main/java/sprucerock/controller/Lease.java
+++ b/src/main/java/sprucerock/controller/FolderSeat.java
@@ -11,11 +11,11 @@
  * anything, that its time is over. What it can't promise is that such a one has not a frame on its way: news therefore has an epoch,
  * and relays refuse older ones. Each term begins files of its own, so that nothing a former one still writes is ever read.
  */
-public final class Lease {
+public final class FolderSeat implements Seat {
     private static final String FILE = "lease";
+    /** Once the seat was granted by a majority, nobody takes it by this file: who was granted it would not see that. */
+    static final String MAJORITY = "seat";
     private static final Span CLAIM = Span.ofMs(500); // twice as long as between two looks of whoever holds it
-    /** How often it is to be renewed at least. */
-    public static final Span RENEW = Span.ofMs(200);
 
     private final Disk disk;
     private final Engine.Clock clock;
@@ -29,7 +29,7 @@
     private long renewedAt;
     private long beats;
 
-    Lease(Disk disk, Engine.Clock clock, Span time, String holder) {
+    FolderSeat(Disk disk, Engine.Clock clock, Span time, String holder) {
         this.disk = disk;
         this.clock = clock;
         this.time = time;
@@ -38,8 +38,8 @@
     }
 
     /** One in a folder of the machine's; {@code holder} names this process among all that may hold it. */
-    public static Lease in(java.nio.file.Path folder, Engine.Clock clock, Span time, String holder) throws IOException {
-        return new Lease(new FileDisk(folder), clock, time, holder);
+    public static FolderSeat in(java.nio.file.Path folder, Engine.Clock clock, Span time, String holder) throws IOException {
+        return new FolderSeat(new FileDisk(folder), clock, time, holder);
     }
 
     private String read() throws IOException {
@@ -54,8 +54,9 @@
         }
     }
 
-    /** Tries to take it; true once it is held. To be called again and again, each 50 ms or so. */
+    @Override
     public synchronized boolean take() throws IOException {
+        if (disk.list().contains(MAJORITY)) throw new IOException("the seat of this folder is granted by a majority: leases are to be configured, or the file " + MAJORITY + " taken away");
         String now = read();
         long at = clock.steadyMs();
         if (claimed != null) {
@@ -83,12 +84,12 @@
         return false;
     }
 
-    /** Whether it is held for certain, now. */
+    @Override
     public synchronized boolean holds() {
         return own != null && clock.steadyMs() - renewedAt < time.ms();
     }
 
-    /** Holds on to it; false once it is lost, for good. */
+    @Override
     public synchronized boolean renew() throws IOException {
         if (own == null) return false;
         long at = clock.steadyMs();
@@ -107,7 +108,7 @@
         return true;
     }
 
-    /** Gives it back, so that the other one need not wait. */
+    @Override
     public synchronized void release() throws IOException {
         if (own != null && read().equals(own)) disk.put(FILE, (term(own) + " free").getBytes(StandardCharsets.UTF_8));
         own = null;
--- a/src/main/java/sprucerock/controller/Releases.java
+++ b/src/main/java/sprucerock/controller/Releases.java
@@ -152,6 +152,11 @@
         };
     }
 
+    /** Of all units, that a release takes while it is decided. */
+    double share(Release release) {
+        return rules.stages().get(release.stage).share();
+    }
+
     private int wanted(int stage) {
         return (int) Math.max(1, Math.ceil(rules.stages().get(stage).share() * places - 1e-9));
     }
--- a/src/main/java/sprucerock/desk/Desk.java
+++ b/src/main/java/sprucerock/desk/Desk.java
@@ -16,10 +16,18 @@
 import sprucerock.change.Changes;
 import sprucerock.change.Relay;
 import sprucerock.controller.Engine;
-import sprucerock.controller.Lease;
+import sprucerock.controller.FolderSeat;
 import sprucerock.controller.Release;
+import sprucerock.controller.Seat;
+import sprucerock.controller.SeatMark;
 import sprucerock.controller.v1.Delivered;
+import sprucerock.controller.v1.FreezeCleared;
 import sprucerock.controller.v1.Input;
+import sprucerock.freeze.Freeze;
+import sprucerock.freeze.Freezes;
+import sprucerock.freeze.Promises;
+import sprucerock.lease.GranterDoor;
+import sprucerock.lease.Leases;
 import sprucerock.net.nio.NioLoop;
 import sprucerock.time.Span;
 import sprucerock.versions.Vault;
@@ -30,14 +38,18 @@
     private static final Span LOOK = Span.ofMs(50); // whether time alone has changed anything
 
     private final Logger log = LoggerFactory.getLogger("sprucerock.controller");
+    private final DeskConfig config;
     private final NioLoop loop;
     private final Engine engine;
+    private final Promises promises;
     private final RelaysDoor relays;
     private final HttpDoor http;
     private final Vault vault;
     private AgentsDoor agents;
     private InetSocketAddress agentsAt;
-    private final Lease lease;
+    private final Seat seat;
+    private Leases leases;
+    private GranterDoor granter;
     private final List<Outbox> outboxes = new ArrayList<>();
     private final Map<String, Long> delivered = new ConcurrentHashMap<>();
     private final Runnable replaced;
@@ -53,26 +65,29 @@
      */
     public Desk(DeskConfig config, Engine.Clock clock, Tap tap, Runnable replaced) throws Exception {
         this.replaced = replaced;
+        this.config = config;
         String holder = config.name + "-" + ProcessHandle.current().pid() + "-" + Long.toHexString(System.nanoTime());
-        lease = Lease.in(config.folder, clock, config.lease, holder);
+        loop = new NioLoop("controller", this::broken);
+        seat = seat(holder, tap, clock);
         boolean told = false;
-        while (!lease.take()) {
-            if (!told) log.info("STANDBY {} waits for the lease of {}", holder, config.folder);
+        while (!seat.take()) {
+            if (!told) log.info("STANDBY {} waits for the seat at {}", holder, config.folder);
             told = true;
             Thread.sleep(50);
         }
-        loop = new NioLoop("controller", this::broken);
         loop.post(this::renew); // from now on: to come back may take longer than the lease
+        Freezes freezes = config.room == null ? Freezes.none() : new Freezes(config.freezes, config.room, ofFreezes());
         engine = Engine.in(config.folder, config.rules, config.places, config.firstBuild, config.plan, clock, (release, step) -> {
             log.info("STEP {} build {} {} stage {}: {}", step.sequence(), release.build, step.standing(), step.stage(), step.cause());
             outboxes.forEach(outbox -> outbox.add(release, step));
-        }, ofChanges(), what -> log.error("STORE {}", what)); // relays are told at the turn's end, after all its steps
+        }, ofChanges(), freezes, what -> log.error("STORE {}", what)); // relays are told at the turn's end, after all its steps
         for (Outbox.Target target : config.tells) {
             outboxes.add(new Outbox(target, config.folder.resolveSibling(config.folder.getFileName() + "-" + target.name() + ".dead"),
                 upTo -> loop.post(() -> delivered(target.name(), upTo)), what -> log.error("OUTBOX {}", what)));
         }
-        engine.onlyWhile(lease::holds);
+        engine.onlyWhile(seat::holds);
         engine.start(this::tellAgain);
+        promises = new Promises(freezes, freezes.later(engine.wallMs()));
         relays = new RelaysDoor(loop, config, tap, this);
         vault = config.agents == null ? null : new Vault(config.folder.resolveSibling(config.folder.getFileName() + "-versions"), config.mostBytes);
         http = new HttpDoor(config, this);
@@ -106,6 +121,47 @@
             engine.inputs(), at[0], http.hooksAt(), http.apiAt());
     }
 
+    /** By the store's folder, or by a lease where granters are configured; this process may be one of them. */
+    private Seat seat(String holder, Tap tap, Engine.Clock clock) throws Exception {
+        if (config.leases == null) return FolderSeat.in(config.folder, clock, config.lease, holder);
+        Leases.Log say = new Leases.Log() {
+            @Override
+            public void info(String what) {
+                log.info("LEASE {}", what);
+            }
+
+            @Override
+            public void warn(String what) {
+                log.warn("LEASE {}", what);
+            }
+        };
+        leases = new Leases(loop, config.leases, config.name, Leases.newLife(), tap, clock::wallMs, say);
+        SeatMark mark = SeatMark.in(config.folder);
+        Exception[] wrong = new Exception[1];
+        CountDownLatch done = new CountDownLatch(1);
+        loop.post(() -> {
+            try {
+                if (config.leases.granter() >= 0) {
+                    granter = new GranterDoor(loop, config.leases, config.name, tap, say);
+                    granter.start();
+                }
+                leases.start();
+            } catch (IOException e) {
+                wrong[0] = new IOException("granter " + config.leases.granter() + " can't listen: " + e.getMessage());
+            } finally {
+                done.countDown();
+            }
+        });
+        done.await();
+        if (wrong[0] != null) throw wrong[0];
+        return new MajoritySeat(loop, leases, mark, "controller");
+    }
+
+    /** What the granters know; null: none are configured. */
+    Leases leases() {
+        return leases;
+    }
+
     /** Another controller has taken its place. */
     public boolean isReplaced() {
         return lost;
@@ -147,6 +203,37 @@
         };
     }
 
+    private Freezes.Host ofFreezes() {
+        return new Freezes.Host() {
+            @Override
+            public void changed(Freeze freeze, Freeze.Step step) {
+                if (!engine().replaying()) log.info("FREEZE {} of {} step {}: {}: {}", freeze.number, freeze.racks, step.sequence(), step.state(), step.cause());
+            }
+
+            @Override
+            public void promisesChanged() {
+                if (!engine().replaying()) loop.atTurnsEnd(() -> relays.promisesChanged());
+            }
+        };
+    }
+
+    /** What relays are promised; on the loop. */
+    Promises promises() {
+        return promises;
+    }
+
+    /** Whether this controller acts, asked at the last instant before it promises anything. */
+    boolean holdsSeat() {
+        return seat.holds();
+    }
+
+    /** A relay has asked: some freeze may be in force by that. */
+    void lookAtFreezes() {
+        for (long number : promises.cleared(engine.freezes().later(engine.wallMs()))) {
+            submit(Input.newBuilder().setFreezeCleared(FreezeCleared.newBuilder().setFreeze(number)), outcome -> { });
+        }
+    }
+
     Engine engine() {
         return engine;
     }
@@ -201,10 +288,10 @@
         if (stopped) return;
         boolean holds;
         try {
-            holds = lease.renew();
+            holds = seat.renew();
         } catch (IOException e) {
             log.error("LEASE can't be renewed: {}", e.getMessage());
-            holds = lease.holds(); // as long as its time is not over
+            holds = seat.holds(); // as long as its time is not over
         }
         if (!holds) {
             log.error("LEASE lost: another controller acts, this one ends");
@@ -213,12 +300,13 @@
             replaced.run();
             return;
         }
-        loop.at(loop.now().plus(Lease.RENEW), this::renew);
+        loop.at(loop.now().plus(Seat.RENEW), this::renew);
     }
 
     private void look() {
         if (stopped) return;
-        if (engine.releases().due(engine.now()) || engine.changes().due(engine.now())) commit();
+        if (engine.releases().due(engine.now()) || engine.changes().due(engine.now()) || engine.freezes().due(engine.wallMs())) commit();
+        lookAtFreezes();
         loop.at(loop.now().plus(LOOK), this::look);
     }
 
@@ -239,9 +327,19 @@
             Thread.currentThread().interrupt();
         }
         outboxes.forEach(Outbox::close);
-        loop.close();
         engine.close();
-        lease.release();
+        seat.release();
+        CountDownLatch gone = new CountDownLatch(1);
+        loop.post(() -> {
+            if (granter != null) granter.stop();
+            loop.at(loop.now().plus(Span.ofMs(100)), gone::countDown); // what was given back goes out
+        });
+        try {
+            gone.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        loop.close();
         log.info("FINISHED");
     }
 }
--- a/src/main/java/sprucerock/desk/DeskConfig.java
+++ b/src/main/java/sprucerock/desk/DeskConfig.java
@@ -16,8 +16,12 @@
 import sprucerock.change.Plan;
 import sprucerock.config.Address;
 import sprucerock.config.ConfigException;
+import sprucerock.config.LeaseConfig;
 import sprucerock.config.Node;
 import sprucerock.controller.Rules;
+import sprucerock.freeze.Freezes;
+import sprucerock.freeze.Headroom;
+import sprucerock.freeze.Rack;
 import sprucerock.time.Span;
 
 /** The configuration of a controller, checked; controller.xsd names the units and the values used where one is left out. */
@@ -46,6 +50,11 @@
     /** How long an active controller may be silent before another one takes its place. */
     public final Span lease;
     public final Rules rules;
+    /** Racks that can be frozen, and the room that has to be left; null: none. */
+    public final Headroom room;
+    public final Freezes.Rules freezes;
+    /** Granters of leases, by which the seat is had; null: the store's folder gives it. */
+    public final LeaseConfig leases;
     /** Where agents come; null: what relays run is not this controller's to change. */
     public final InetSocketAddress agents;
     public final int mostAgents;
@@ -56,6 +65,8 @@
     public final long mostBytes;
     public final Plan plan;
 
+    private static final int CANDIDATE = 65_000; // among those who stand for leases; far over relays' numbers
+
     /** Reads and checks a file; the first thing that is wrong ends it. */
     public static DeskConfig read(Path file) throws ConfigException {
         return new DeskConfig(Node.read(file, "/sprucerock/controller.xsd"));
@@ -114,6 +125,10 @@
         tells = List.copyOf(targets);
         lease = root.span("lease");
         if (Span.ofMs(500).over(lease)) throw root.wrong("lease is 500ms at least");
+        leases = LeaseConfig.of(root.child("leases"), CANDIDATE);
+        Node racks = root.child("racks");
+        room = racks == null ? null : room(racks);
+        freezes = racks == null ? null : freezes(racks);
         Node agentsNode = root.child("agents");
         agents = agentsNode == null ? null : address(agentsNode);
         mostAgents = agentsNode == null ? 1 : agentsNode.count("most");
@@ -140,6 +155,37 @@
         }
     }
 
+    private static Headroom room(Node node) throws ConfigException {
+        Map<String, Rack> racks = new TreeMap<>();
+        Set<Integer> places = new java.util.HashSet<>();
+        for (Node one : node.all("rack")) {
+            Map<Integer, Double> units = new TreeMap<>();
+            for (Node some : one.all("units")) if (units.put(some.count("kind"), (double) some.count("count")) != null) throw some.wrong("kind " + some.text("kind") + " is named twice");
+            Rack rack = new Rack(one.text("name"), one.count("zone"), one.count("cell"), units, (long) (one.has("notice") ? one : node).span("notice").ms());
+            if (racks.put(rack.name(), rack) != null) throw one.wrong("two racks have one name");
+            if (rack.noticeMs() <= 0) throw one.wrong("notice is over 0");
+            if (rack.zone() > 32_767) throw one.wrong("a zone is 0 to 32767");
+            if (!places.add(rack.zone() << 16 | rack.cell())) throw one.wrong("two racks have one zone and cell");
+        }
+        Map<Integer, Headroom.Forecast> forecasts = new TreeMap<>();
+        for (Node one : node.all("forecast")) {
+            String[] words = one.text("by-hour").trim().split("\\s+");
+            if (words.length != 24) throw one.wrong("by-hour has a number for each of the 24 hours of the day in UTC, not " + words.length);
+            double[] byHour = new double[24];
+            for (int i = 0; i < 24; i++) byHour[i] = Double.parseDouble(words[i]);
+            if (forecasts.put(one.count("zone"), new Headroom.Forecast(one.count("kind"), one.count("method"), byHour)) != null) throw one.wrong("a zone has two forecasts");
+        }
+        return new Headroom(racks.values(), forecasts, node.number("reserve"));
+    }
+
+    private static Freezes.Rules freezes(Node node) throws ConfigException {
+        try {
+            return new Freezes.Rules((long) node.span("warm").ms(), (long) node.span("step").ms(), node.number("confidence"));
+        } catch (IllegalArgumentException e) {
+            throw node.wrong(e.getMessage());
+        }
+    }
+
     private static InetSocketAddress address(Node node) throws ConfigException {
         InetSocketAddress address = Address.of(node.text("host"), node.count("port"));
         if (address == null) throw node.wrong("host \"" + node.text("host") + "\" is no IPv4 or IPv6 address in numbers");
--- a/src/main/java/sprucerock/desk/HttpDoor.java
+++ b/src/main/java/sprucerock/desk/HttpDoor.java
@@ -39,11 +39,17 @@
 import sprucerock.controller.Releases;
 import sprucerock.controller.v1.Announced;
 import sprucerock.controller.v1.ChangeWord;
+import sprucerock.controller.v1.FreezeWanted;
+import sprucerock.controller.v1.FreezeWord;
 import sprucerock.controller.v1.Input;
 import sprucerock.controller.v1.Proposed;
+import sprucerock.controller.v1.RackSays;
 import sprucerock.controller.v1.Ready;
 import sprucerock.controller.v1.Word;
+import sprucerock.freeze.Freeze;
 import sprucerock.time.Moment;
+import sprucerock.wire.v1.LeaseEntry;
+import sprucerock.wire.v1.LeaseListed;
 
 /**
  * HTTP: webhooks from build pipelines, and the operators' API. Bodies, senders' slowness, rates and what is under way are bounded;
@@ -214,6 +220,13 @@
             onLoop(exchange, () -> showChange(exchange, number(path[1])));
         } else if (get && path.length == 1 && path[0].equals("agents")) {
             onLoop(exchange, () -> answer(exchange, 200, agents()));
+        } else if (get && path.length == 1 && path[0].equals("freezes")) {
+            onLoop(exchange, () -> answer(exchange, 200, freezes()));
+        } else if (get && path.length == 2 && path[0].equals("freezes")) {
+            onLoop(exchange, () -> showFreeze(exchange, number(path[1])));
+        } else if (get && path.length == 1 && path[0].equals("leases")) {
+            if (desk.leases() == null) answer(exchange, 409, "no_leases", "this controller's configuration has no leases");
+            else onLoop(exchange, () -> desk.leases().list(all -> answer(exchange, 200, leases(all))));
         } else if (!get) {
             body(exchange, MOST_API_BODY, bytes -> word(exchange, path, bytes));
         } else {
@@ -240,6 +253,19 @@
             announceByHand(exchange, body);
         } else if (path.length == 1 && path[0].equals("changes")) {
             propose(exchange, body);
+        } else if (path.length == 1 && path[0].equals("freezes")) {
+            freeze(exchange, body);
+        } else if (path.length == 2 && path[0].equals("racks")) {
+            boolean known = desk.engine().freezes().room().racks().containsKey(path[1]) && body.path("down").isBoolean();
+            if (!known) answer(exchange, 400, "no_rack", "the name of a rack of the configuration and {\"down\": true or false} are needed");
+            else onLoop(exchange, () -> desk.submit(Input.newBuilder().setRack(RackSays.newBuilder().setRack(path[1]).setDown(body.get("down").asBoolean())), outcome -> done(exchange, outcome)));
+        } else if (path.length == 3 && path[0].equals("freezes") && path[2].matches("call-off|extend|force")) {
+            String who = body.path("who").asText("");
+            String reason = body.path("reason").asText("");
+            long to = body.path("to_ms").asLong(0);
+            if (!said(who, reason) || path[2].equals("extend") && to <= 0) answer(exchange, 400, "no_reason", "{\"who\": ..., \"reason\": ...} are needed, for extend \"to_ms\" too");
+            else onLoop(exchange, () -> desk.submit(Input.newBuilder().setFreezeWord(FreezeWord.newBuilder().setWord(path[2].toUpperCase(Locale.ROOT).replace('-', '_'))
+                .setFreeze(number(path[1])).setToMs(to).setWho(who).setReason(reason)), outcome -> done(exchange, outcome)));
         } else if (path.length == 2 && path[0].equals("fleet")) {
             int units = body.path("units").asInt(-1);
             int build = number(path[1]);
@@ -346,6 +372,102 @@
         answer(exchange, 200, node);
     }
 
+    /** Each granter's word, and of each lease the highest number with those who granted it. */
+    private ObjectNode leases(Map<Integer, LeaseListed> known) {
+        ObjectNode all = Announcements.JSON.createObjectNode();
+        ArrayNode granters = all.putArray("granters");
+        for (int i = 0; i < config.leases.granters().size(); i++) {
+            LeaseListed one = known.get(i);
+            ObjectNode node = granters.addObject().put("granter", i).put("at", config.leases.granters().get(i).toString().replaceFirst("^/", "")).put("heard", one != null);
+            if (one != null) node.put("grants_in_ms", one.getOpensUs() / 1000).put("refused", one.getRefused());
+        }
+        Map<String, ObjectNode> byName = new TreeMap<>();
+        known.forEach((granter, one) -> {
+            for (LeaseEntry entry : one.getEntriesList()) {
+                ObjectNode node = byName.get(entry.getName());
+                if (node == null || node.get("number").asLong() < entry.getNumber()) {
+                    node = Announcements.JSON.createObjectNode().put("name", entry.getName()).put("number", entry.getNumber()).put("holder", entry.getHolder()).put("left_ms", 0).put("waiting", 0);
+                    node.putArray("granted_by");
+                    byName.put(entry.getName(), node);
+                }
+                if (node.get("number").asLong() > entry.getNumber()) continue;
+                if (entry.getLeftUs() > 0) ((ArrayNode) node.get("granted_by")).add(granter);
+                node.put("left_ms", Math.max(node.get("left_ms").asLong(), entry.getLeftUs() / 1000)).put("waiting", Math.max(node.get("waiting").asInt(), entry.getWaiting()));
+            }
+        });
+        ArrayNode list = all.putArray("leases");
+        byName.values().forEach(list::add);
+        return all.put("majority", config.leases.granters().size() / 2 + 1);
+    }
+
+    private void freeze(HttpServerExchange exchange, JsonNode body) {
+        String who = body.path("who").asText("");
+        String reason = body.path("reason").asText("");
+        if (config.room == null) {
+            answer(exchange, 409, "no_racks", "this controller's configuration has no racks");
+            return;
+        }
+        List<String> racks = new java.util.ArrayList<>();
+        body.path("racks").forEach(rack -> racks.add(rack.asText()));
+        boolean emergency = body.path("emergency").asBoolean(false);
+        if (!said(who, reason) || racks.isEmpty() || body.path("lasts_ms").asLong(0) <= 0 || !emergency && body.path("from_ms").asLong(0) <= 0) {
+            answer(exchange, 400, "no_freeze", "{\"who\": ..., \"reason\": ..., \"racks\": [...], \"from_ms\": ..., \"lasts_ms\": ...} are needed; slack_ms, rule, zone and emergency may be");
+            return;
+        }
+        FreezeWanted.Builder wanted = FreezeWanted.newBuilder().addAllRacks(racks).setFromMs(body.path("from_ms").asLong(0)).setLastsMs(body.path("lasts_ms").asLong())
+            .setSlackMs(Math.max(0, body.path("slack_ms").asLong(0))).setRule(body.path("rule").asText("")).setZone(body.path("zone").asText("UTC")).setEmergency(emergency)
+            .setWho(who).setReason(reason);
+        onLoop(exchange, () -> desk.submit(Input.newBuilder().setFreeze(wanted), outcome -> {
+            if (outcome.refused() != null) answer(exchange, 503, "not_kept", outcome.refused());
+            else if (outcome.answer() instanceof String why) answer(exchange, 409, "no_effect", why);
+            else {
+                ObjectNode all = Announcements.JSON.createObjectNode();
+                ArrayNode list = all.putArray("freezes");
+                for (Object number : (List<?>) outcome.answer()) list.add(brief(desk.engine().freezes().of((Long) number)));
+                answer(exchange, 200, all);
+            }
+        }));
+    }
+
+    private ObjectNode brief(Freeze freeze) {
+        ObjectNode node = Announcements.JSON.createObjectNode().put("freeze", freeze.number).put("state", freeze.state().name().toLowerCase(Locale.ROOT).replace('_', ' '))
+            .put("from", Instant.ofEpochMilli(freeze.from()).toString()).put("to", Instant.ofEpochMilli(freeze.to()).toString()).put("who", freeze.who).put("why", freeze.why)
+            .put("emergency", freeze.emergency);
+        ArrayNode racks = node.putArray("racks");
+        freeze.racks.forEach(racks::add);
+        return node.put("cause", freeze.steps().get(freeze.steps().size() - 1).cause());
+    }
+
+    private ObjectNode freezes() {
+        ObjectNode all = Announcements.JSON.createObjectNode();
+        ArrayNode list = all.putArray("freezes");
+        for (Freeze one : desk.engine().freezes().all()) list.add(brief(one));
+        return all;
+    }
+
+    /** With who may still place work there, and until when at most. */
+    private void showFreeze(HttpServerExchange exchange, int number) {
+        Freeze freeze = desk.engine().freezes().of(number);
+        if (freeze == null) {
+            answer(exchange, 404, "no_such_freeze", null);
+            return;
+        }
+        ObjectNode node = brief(freeze);
+        ArrayNode steps = node.putArray("steps");
+        for (Freeze.Step step : freeze.steps()) {
+            steps.addObject().put("sequence", step.sequence()).put("at", Instant.ofEpochMilli(step.wallMs()).toString()).put("state", step.state().name().toLowerCase(Locale.ROOT))
+                .put("cause", step.cause());
+        }
+        ArrayNode out = node.putArray("out");
+        if (freeze.state().binds()) {
+            desk.promises().out(freeze, desk.engine().freezes().later(desk.engine().wallMs())).forEach(relay -> out.add(relay < 0 ? "relays not heard since this controller started" : "relay " + relay));
+            node.put("at_most_until", Instant.ofEpochMilli(desk.engine().freezes().promisesEnd(freeze)).toString());
+        }
+        ArrayNode forced = node.putArray("forced_by");
+        freeze.forcedBy().forEach(forced::add);
+        answer(exchange, 200, node);
+    }
+
     private ObjectNode agents() {
         ObjectNode all = Announcements.JSON.createObjectNode();
         ArrayNode list = all.putArray("agents");
--- a/src/main/java/sprucerock/desk/RelaysDoor.java
+++ b/src/main/java/sprucerock/desk/RelaysDoor.java
@@ -7,7 +7,9 @@
 import java.util.Set;
 import sprucerock.controller.Releases;
 import sprucerock.controller.v1.Cast;
+import sprucerock.controller.v1.FamiliesWorth;
 import sprucerock.controller.v1.Input;
+import sprucerock.freeze.Rack;
 import sprucerock.net.Net;
 import sprucerock.net.Timers;
 import sprucerock.time.Span;
@@ -18,11 +20,15 @@
 import sprucerock.wire.Tap;
 import sprucerock.wire.v1.Hello;
 import sprucerock.wire.v1.News;
+import sprucerock.wire.v1.PromiseAsk;
+import sprucerock.wire.v1.Promised;
+import sprucerock.wire.v1.RackFree;
 import sprucerock.wire.v1.Role;
 import sprucerock.wire.v1.Stand;
 import sprucerock.wire.v1.Taken;
 import sprucerock.wire.v1.Vote;
 import sprucerock.wire.v1.Voted;
+import sprucerock.wire.v1.Worth;
 
 /**
  * The relays' links: each is told the news as it stands when it comes, at each change and now and then; of a relay that does not read
@@ -78,6 +84,11 @@
         for (Session session : sessions) session.tell();
     }
 
+    /** A freeze was accepted, called off or has begun: whoever asks now is told so. Each asks a moment later, by chance of its own. */
+    void promisesChanged() {
+        for (Session session : sessions) session.link.send(Kind.PROMISED, Promised.getDefaultInstance(), NO_BODY);
+    }
+
     private News news() {
         Releases.News news = desk.engine().releases().news();
         Stand stand = switch (news.standing()) {
@@ -119,6 +130,14 @@
 
         @Override
         public void frame(Kind kind, MessageLite head, byte[] body) {
+            if (kind == Kind.PROMISE_ASK) {
+                promise((PromiseAsk) head);
+                return;
+            }
+            if (kind == Kind.WORTH) {
+                worth((Worth) head);
+                return;
+            }
             if (kind != Kind.VOTE) {
                 link.cut("a controller takes no " + kind);
                 return;
@@ -143,6 +162,27 @@
                 }));
         }
 
+        /** Field by field as it is recorded; one of a relay that was replaced is refused by its number, by the core. */
+        private void worth(Worth told) {
+            try {
+                desk.submit(Input.newBuilder().setWorth(FamiliesWorth.parseFrom(told.toByteArray())), outcome -> { });
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                link.cut("what hardware is worth can't be read");
+            }
+        }
+
+        /** What a former holder of the seat would promise, nobody waits for to run out: so it is asked last, and says nothing. */
+        private void promise(PromiseAsk ask) {
+            long now = desk.engine().freezes().later(desk.engine().wallMs());
+            desk.promises().asked(link.other().getNumber(), ask.getHolds(), now);
+            Promised.Builder promised = Promised.newBuilder().setId(ask.getId()).setEpoch(desk.engine().releases().epoch()).setSequence(desk.engine().freezes().sequence());
+            for (Rack rack : desk.engine().freezes().room().racks().values()) {
+                promised.addRacks(RackFree.newBuilder().setZone(rack.zone()).setCell(rack.cell()).setLeftMs(desk.promises().promised(rack.name(), now)));
+            }
+            desk.lookAtFreezes();
+            if (ask.getId() > 0 && desk.holdsSeat()) link.send(Kind.PROMISED, promised.build(), NO_BODY);
+        }
+
         private void answer(Vote vote, Taken taken) {
             link.send(Kind.VOTED, Voted.newBuilder().setId(vote.getId()).setTaken(taken).build(), NO_BODY);
         }
--- a/src/main/java/sprucerock/host/Module.java
+++ b/src/main/java/sprucerock/host/Module.java
@@ -37,6 +37,9 @@
     /** A client found wrong what this unit answered. */
     void flagged(Unit unit);
 
+    /** The one relay that looks at units for all asked it for a sign, and got it or not; no work was run for it. */
+    void looked(Unit unit, boolean answered);
+
     void peerTold(int sender, byte[] contents);
 
     void voteAnswered(Reply reply);
--- a/src/main/java/sprucerock/judge/FleetJudge.java
+++ b/src/main/java/sprucerock/judge/FleetJudge.java
@@ -63,7 +63,7 @@
         }
     }
 
-    private static Map<String, String> fields(Line line) {
+    static Map<String, String> fields(Line line) {
         Map<String, String> found = new HashMap<>();
         for (String part : line.text().split(" ")) {
             int eq = part.indexOf('=');
--- a/src/main/java/sprucerock/judge/Judge.java
+++ b/src/main/java/sprucerock/judge/Judge.java
@@ -18,7 +18,7 @@
  */
 public final class Judge {
     /** What it found, and how much it looked at: a judge that saw nothing has proved nothing. */
-    public record Verdict(List<Finding> findings, int relayRuns, long frames, long rpcs, long picks, long stalledMs) {
+    public record Verdict(List<Finding> findings, int relayRuns, long frames, long rpcs, long picks, long stalledMs, List<String> shared) {
         public boolean kept() {
             return findings.isEmpty() && rpcs > 0;
         }
@@ -48,6 +48,7 @@
             if (line.is('<', Kind.WORK) && line.place().startsWith("unit-")) arrived.add(line.mark() + "@" + line.place().substring(5));
         }
         FleetJudge fleet = new FleetJudge(rules, findings);
+        LeaseJudge leases = new LeaseJudge(findings);
         long frames = others.size();
         long rpcs = 0;
         long picks = 0;
@@ -56,12 +57,18 @@
             List<Line> lines = relay.getValue();
             new RelayJudge(rules, arrived, findings).judge(lines);
             fleet.relay(Integer.parseInt(relay.getKey().replaceFirst("relay-([0-9]+).*", "$1")), lines);
+            leases.relay(lines);
             frames += lines.size();
             rpcs += lines.stream().filter(line -> line.is('<', Kind.CALL)).count();
             picks += lines.stream().filter(line -> line.is('>', Kind.WORK)).count();
             for (Line line : lines) if (line.isNote("STALL")) stalledUs += Long.parseLong(line.text());
         }
         fleet.standIns(others);
-        return new Verdict(findings, relays.size(), frames, rpcs, picks, stalledUs / 1000);
+        leases.standIns(others);
+        FreezeJudge freezes = new FreezeJudge(findings);
+        freezes.standIns(others);
+        List<String> shared = new ArrayList<>(leases.summary());
+        shared.addAll(freezes.summary());
+        return new Verdict(findings, relays.size(), frames, rpcs, picks, stalledUs / 1000, shared);
     }
 }
--- a/src/main/java/sprucerock/ledger/Ledger.java
+++ b/src/main/java/sprucerock/ledger/Ledger.java
@@ -32,6 +32,7 @@
     private final Settings settings;
     private final Map<Long, Rpc> rpcs = new HashMap<>();
     private final TreeMap<Long, Unit> units = new TreeMap<>();
+    private int newestTried;
     private final TreeMap<Integer, Build> builds = new TreeMap<>();
     private final Accounts accounts;
     private final int[] customerRows;
@@ -186,6 +187,7 @@
     }
 
     public void news(int build, int stage, Standing standing, double cap, Moment since) {
+        newestTried = standing == Standing.RELEASED ? build + 1 : build;
         module.newsOfBuild(build(build), stage, standing, cap, since);
         builds.values().removeIf(one -> one.units.isEmpty() && one.number < build - 1);
     }
@@ -202,6 +204,17 @@
         if (known != null && known.olderThan(sentAgo, now)) module.flagged(known);
     }
 
+    /** The number of the newest build that news was of; builds below it are no part of a trial. 0: there was no news. */
+    public int newestTried() {
+        return newestTried;
+    }
+
+    /** A unit gave a sign when it was looked at, or none. */
+    public void looked(long unit, boolean answered) {
+        Unit known = units.get(unit);
+        if (known != null && known.ready()) module.looked(known, answered);
+    }
+
     /** The build of a number, known from now on. */
     public Build build(int number) {
         return builds.computeIfAbsent(number, key -> {
--- a/src/main/java/sprucerock/net/Timers.java
+++ b/src/main/java/sprucerock/net/Timers.java
@@ -8,6 +8,11 @@
     /** Stands still within a turn, and never goes back: no clock on the wall can move it. */
     Moment now();
 
+    /** The same clock read anew: for what must not be earlier than it was. From the loop's thread. */
+    default Moment clock() {
+        return now();
+    }
+
     /** Runs {@code what} in the first turn at or after {@code when}; those of one moment in the order of the calls. */
     Timer at(Moment when, Runnable what);
 
--- a/src/main/java/sprucerock/net/nio/NioLoop.java
+++ b/src/main/java/sprucerock/net/nio/NioLoop.java
@@ -125,7 +125,9 @@
         sleeping.set(false);
     }
 
-    private Moment clock() {
+    /** From any thread. */
+    @Override
+    public Moment clock() {
         return Moment.ofMs((System.nanoTime() - origin) / 1e6);
     }
 
--- a/src/main/java/sprucerock/rehearsal/Play.java
+++ b/src/main/java/sprucerock/rehearsal/Play.java
@@ -1,5 +1,7 @@
 package sprucerock.rehearsal;
 
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
@@ -92,6 +94,8 @@
     private MonitorStandIn monitor;
     private RealController controller;
     private Agents agents;
+    private RacksOfDay racks; // null: the day has none
+    private LeasesOfDay leases; // null: the day has none
     private Secure secure;
     private Workers workers;
     private RosterStandIn roster;
@@ -154,6 +158,7 @@
             if (controller != null) {
                 controller.start();
                 controller.await();
+                if (racks != null) controller.watchFreezes();
             }
             for (RelayProcess relay : relays) relay.start();
             awaitRelays();
@@ -226,6 +231,7 @@
         between = new SwitchStandIn(loop, new TraceWriter(trace, "switch"), limits, chance.nextLong());
         if (day.tlsEveryone) between.secure(secure);
         faults.put(FIRST_BUILD, BuildFault.GOOD);
+        if (day.racks != null) racks = new RacksOfDay(day.racks, trace);
         for (Script.Units some : day.units) {
             for (int i = 0; i < some.count(); i++) {
                 UnitStandIn unit = unit(FIRST_BUILD, some.zone(), some.cores(), some.speed());
@@ -243,10 +249,25 @@
             ports.put(i, port);
             ways.put(i, between.port(i, new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
         }
+        if (day.leases != null) {
+            List<Integer> granters = new ArrayList<>();
+            for (int i = 0; i < day.leases.granters(); i++) granters.add(freePort());
+            leases = new LeasesOfDay(day.leases, loop, granters);
+        }
         if (day.changeWatch != null) agents = new Agents(folder, RelayXml.template(day, rosterPort, day.peers ? ways : Map.of()));
         if (day.realController) {
             controller = new RealController(folder.resolve("controller"), site, FIRST_BUILD, firstUnits.size(), new int[] {deskPort, freePort(), freePort()},
-                agents == null ? "" : agents.controllerXml(agentsPort, day), builds -> loop.post(() -> fleet(builds)));
+                agents == null ? "" : agents.controllerXml(agentsPort, day), leases == null ? "" : leases.xml(day.relays, 65_000, false, chance), racks == null ? "" : racks.controllerXml(units.values()), new RealController.Fleet() {
+                    @Override
+                    public void wanted(List<RealController.Seen> builds) {
+                        loop.post(() -> fleet(builds));
+                    }
+
+                    @Override
+                    public void freezes(List<RealController.Frozen> all) {
+                        loop.post(() -> racks.told(all, units.values(), begun == null ? Span.ZERO : time()));
+                    }
+                });
         }
         double weights = day.busiest + day.relays - 1;
         for (int i = 0; i < day.relays; i++) {
@@ -255,7 +276,7 @@
             scraped.add(freePort());
             int desksPort = controller == null ? deskPort : way(relaysWays, deskPort);
             RelayXml.write(folder.resolve("relay-" + i + ".xml"), day, i, ports.get(i), scraped.get(i), rosterPort, desksPort,
-                day.peers ? others : Map.of());
+                day.peers ? others : Map.of(), (leases == null ? "" : leases.xml(i, i, true, chance)) + (racks == null ? "" : RacksOfDay.relayXml()));
             relays.add(agents == null ? new RelayProcess(i, folder) : new AgentProcess(i, folder));
             if (agents != null) {
                 agents.writeAgent(i, i % 2, way(agentsWays, agentsPort), List.of(new String[] {"number", "" + i}, new String[] {"seed", "" + (day.seed * 1000 + i)},
@@ -279,8 +300,9 @@
         return made.start();
     }
 
-    void ways(boolean ofAgents, int first, int last, java.util.function.Consumer<WayStandIn> what) {
-        (ofAgents ? agentsWays : relaysWays).subList(first, last + 1).forEach(what);
+    void ways(String whose, int first, int last, java.util.function.Consumer<WayStandIn> what) {
+        if (whose.equals("leases")) leases.ways(first, last, what);
+        else (whose.equals("agents") ? agentsWays : relaysWays).subList(first, last + 1).forEach(what);
     }
 
     /** Below those that systems give to connections that go out: one of these may be taken before who it is for can listen there. */
@@ -375,10 +397,29 @@
 
     private void list(UnitStandIn unit, Health health) {
         roster.changed(Entry.newBuilder().setUnit(unit.id).setRun(unit.run()).setHost("127.0.0.1").setPort(unit.port())
-            .setName(secure == null ? "" : Secure.unitName(unit.id)).setZone(unit.zone).setBuild(unit.build).setHealth(health).setWeight(unit.cores * unit.speed).build(),
+            .setName(secure == null ? "" : Secure.unitName(unit.id)).setZone(unit.zone).setCell(racks == null ? 0 : racks.cell(unit.id)).setBuild(unit.build).setHealth(health).setWeight(unit.cores * unit.speed).build(),
             unit.startedCold());
     }
 
+    // Racks.
+
+    /** Announces a freeze: after {@code in}, or at once where that is null. */
+    void freeze(String rack, Span in, Span lasts) {
+        ObjectNode body = JsonMapper.builder().build().createObjectNode().put("lasts_ms", (long) lasts.ms()).put("emergency", in == null);
+        body.putArray("racks").add(rack);
+        if (in != null) body.put("from_ms", System.currentTimeMillis() + (long) in.ms());
+        controller.post("/freezes", body);
+    }
+
+    void callOff(int freeze) {
+        racks.thaw(freeze, units.values());
+        controller.post("/freezes/" + freeze + "/call-off", JsonMapper.builder().build().createObjectNode());
+    }
+
+    List<String> freezes() {
+        return racks == null ? List.of() : racks.steps();
+    }
+
     // The real controller's fleet.
 
     RealController controller() {
--- a/src/main/java/sprucerock/rehearsal/RealController.java
+++ b/src/main/java/sprucerock/rehearsal/RealController.java
@@ -36,9 +36,17 @@
     /** One build, as the controller's list has it. */
     record Seen(int build, String standing, int stage, int wanted) {}
 
+    /** One freeze, as the controller tells it. */
+    record Frozen(long number, String state, List<String> racks, long toMs, String cause) {}
+
     /** Who starts and drains units; called on the pipeline's threads. */
     interface Fleet {
         void wanted(List<Seen> builds);
+
+        /** All freezes, read just now. */
+        default void freezes(List<Frozen> all) {
+            // a day without racks
+        }
     }
 
     /** An announcement's way: when it was sent first, when it was taken, and how often the controller answered how. */
@@ -76,7 +84,7 @@
     private int runs;
 
     /** Writes its configuration; {@code ports} for relays, webhooks and operators. */
-    RealController(Path folder, Site site, int firstBuild, int places, int[] ports, String agents, Fleet fleet) throws IOException {
+    RealController(Path folder, Site site, int firstBuild, int places, int[] ports, String agents, String leases, String racks, Fleet fleet) throws IOException {
         this.folder = Files.createDirectory(folder);
         relays = ports[0];
         hooks = ports[1];
@@ -90,10 +98,10 @@
               <relays host="127.0.0.1" port="%d"/>
             %s              <hooks host="127.0.0.1" port="%d"><source name="ci" form="standard" secrets="%s" a-second="100"/></hooks>
               <api host="127.0.0.1" port="%d" token="%s"/>
-            %s  <votes control="%s" on="%d" hold="%d" back="%d" life="%s" least="%s" step="%s" start-within="20s" going-back="1500ms" watch="5s"/>
+            %s%s%s  <votes control="%s" on="%d" hold="%d" back="%d" life="%s" least="%s" step="%s" start-within="20s" going-back="1500ms" watch="5s"/>
             </controller>
             """, folder.resolve("store").toAbsolutePath(), firstBuild, places, relays, agents, hooks, secret("ci", "whsec_" + Base64.getEncoder().encodeToString(SECRET)), api,
-            secret("token", TOKEN), stages, desk.control().name().toLowerCase(Locale.ROOT), desk.on(), desk.hold(), desk.back(), span(desk.voteLife()),
+            secret("token", TOKEN), leases, racks, stages, desk.control().name().toLowerCase(Locale.ROOT), desk.on(), desk.hold(), desk.back(), span(desk.voteLife()),
             span(desk.bake()), span(desk.step())));
     }
 
@@ -292,6 +300,40 @@
         });
     }
 
+    /** Sends a body until it is answered, in a thread of its own. */
+    void post(String path, ObjectNode body) {
+        body.put("who", "rehearsal").put("reason", "the day has it");
+        run("post", () -> {
+            for (int status = 0; status == 0 && !over;) {
+                try {
+                    status = http.send(asked(path).POST(HttpRequest.BodyPublishers.ofString(body.toString())).build(), HttpResponse.BodyHandlers.ofString()).statusCode();
+                } catch (IOException e) {
+                    Thread.sleep(100);
+                }
+            }
+        });
+    }
+
+    /** Asks for all freezes again and again from now on. */
+    void watchFreezes() {
+        run("freezes", () -> {
+            while (!over) {
+                try {
+                    List<Frozen> all = new ArrayList<>();
+                    for (JsonNode one : get("/freezes").get("freezes")) {
+                        List<String> racks = new ArrayList<>();
+                        one.get("racks").forEach(rack -> racks.add(rack.asText()));
+                        all.add(new Frozen(one.get("freeze").asLong(), one.get("state").asText(), racks, java.time.Instant.parse(one.get("to").asText()).toEpochMilli(), one.get("cause").asText()));
+                    }
+                    fleet.freezes(all);
+                } catch (IOException e) {
+                    // it is down: what was in force stays so until its end
+                }
+                Thread.sleep(50);
+            }
+        });
+    }
+
     private final List<String> proposals = java.util.Collections.synchronizedList(new ArrayList<>());
 
     /** Each change with its steps, in lines; and which relay does not run what it should, if any. */
--- a/src/main/java/sprucerock/rehearsal/RelayXml.java
+++ b/src/main/java/sprucerock/rehearsal/RelayXml.java
@@ -13,19 +13,19 @@
 final class RelayXml {
     private RelayXml() {}
 
-    static void write(Path file, Script day, int number, int port, int figures, int roster, int desk, Map<Integer, Integer> peers)
+    static void write(Path file, Script day, int number, int port, int figures, int roster, int desk, Map<Integer, Integer> peers, String leases)
         throws IOException {
         Path kept = file.resolveSibling("relay-" + number + ".figures").toAbsolutePath();
-        Files.writeString(file, text(day, "" + number, "" + (day.seed * 1000 + number), "" + port, kept.toString(), "" + figures, roster, "" + desk, peers,
+        Files.writeString(file, text(day, "" + number, "" + (day.seed * 1000 + number), "" + port, kept.toString(), "" + figures, roster, "" + desk, peers, leases,
             file.resolveSibling("tls").toAbsolutePath()));
     }
 
     /** The same for all relays, with places for what is each one's own; each has itself among the peers. */
     static String template(Script day, int roster, Map<Integer, Integer> peers) {
-        return text(day, "${number}", "${seed}", "${port}", "${figures}", "${scraped}", roster, "${desk}", peers, Path.of("tls"));
+        return text(day, "${number}", "${seed}", "${port}", "${figures}", "${scraped}", roster, "${desk}", peers, "", Path.of("tls"));
     }
 
-    private static String text(Script day, String number, String seed, String port, String kept, String figures, int roster, String desk, Map<Integer, Integer> peers, Path tls) {
+    private static String text(Script day, String number, String seed, String port, String kept, String figures, int roster, String desk, Map<Integer, Integer> peers, String leases, Path tls) {
         StringBuilder xml = new StringBuilder("<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n");
         xml.append(String.format(Locale.ROOT, "<relay xmlns=\"urn:sprucerock:relay:1\" name=\"relay-%s\" number=\"%s\" seed=\"%s\">%n",
             number, number, seed));
@@ -37,6 +37,7 @@
                 + "handshakes-a-second=\"%d\"/>%n", tls.resolve("trust.pem"), tls.resolve("relay-" + number + ".pem"), day.tlsEveryone,
                 day.tlsEveryone ? "proven" : "plain", span(day.tlsLook), span(day.tlsMove), day.handshakesASecond));
         }
+        xml.append(leases);
         xml.append(String.format(Locale.ROOT, "  <site relays=\"%d\" tick=\"%s\" ask=\"%b\">%n", day.relays, span(day.tick), day.ask));
         for (Site.Method method : day.methods) {
             String effect = method.effect().name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/src/main/java/sprucerock/rehearsal/Report.java
+++ b/src/main/java/sprucerock/rehearsal/Report.java
@@ -26,6 +26,9 @@
         line(text, "");
         line(text, "%s: %.0f s, %d relays, seed %d", day.name, day.lasts.ms() / 1000, day.relays, day.seed);
         rules(text, verdict, play.fallen());
+        if (!verdict.shared().isEmpty()) line(text, "");
+        for (String one : verdict.shared()) line(text, "%s", one);
+        for (String one : play.freezes()) line(text, "  %s", one);
         builds(text, play);
         if (play.controller() == null) votes(text, play);
         else controller(text, play, followed);
--- a/src/main/java/sprucerock/rehearsal/Script.java
+++ b/src/main/java/sprucerock/rehearsal/Script.java
@@ -88,6 +88,10 @@
     /** Units are reached by TLS; {@code tlsEveryone}: clients and other relays, too, and all are proven. */
     public boolean tls;
     public boolean tlsEveryone;
+    /** Some relays grant leases, and all stand for them; null: there are none. */
+    public LeasesOfDay.Plan leases;
+    /** Units stand in racks that can be frozen; null: in none. */
+    public RacksOfDay.Plan racks;
     public Span tlsLook = Span.ofMs(500);
     public Span tlsMove = Span.ofMs(5000);
     public int handshakesASecond = 200;
@@ -160,6 +164,8 @@
         if (units.isEmpty()) throw wrong(day, "a day needs units");
         if (stages.isEmpty()) stages.addAll(List.of(new Site.Stage(0.1, 0.12), new Site.Stage(0.4, 0.45), new Site.Stage(1, 1)));
         if (changeWatch != null && (!realController || tls)) throw wrong(day, "agents need 'controller real', and no tls yet");
+        if (racks != null && (!realController || changeWatch != null)) throw wrong(day, "racks need 'controller real', and no agents yet");
+        if (leases != null && (changeWatch != null || leases.granters() > relays)) throw wrong(day, "leases need as many relays as granters, and no agents yet");
         if (relays < 1 || relays > 50) throw wrong(day, "1 to 50 relays can be played on one machine, not " + relays);
         double shares = methods.stream().mapToDouble(Site.Method::share).sum();
         if (Math.abs(shares - 1) > 0.01) throw wrong(day, "the shares of the methods add up to " + Math.round(100 * shares) + "%, not 100%");
@@ -353,6 +359,20 @@
             return null;
         }
 
+        @Override
+        public Void visitRacks(DayParser.RacksContext c) {
+            racks = new RacksOfDay.Plan(Math.max(1, whole(c.INT().getSymbol(), 1000)), span(c.SPAN().getSymbol()));
+            return null;
+        }
+
+        @Override
+        public Void visitLeases(DayParser.LeasesContext c) {
+            int granters = whole(c.INT().getSymbol(), 5);
+            if (granters != 3 && granters != 5) throw wrong(c, "3 or 5 granters, not " + granters);
+            leases = new LeasesOfDay.Plan(granters, span(c.term), span(c.looks));
+            return null;
+        }
+
         @Override
         public Void visitTls(DayParser.TlsContext c) {
             tls = true;
@@ -500,15 +520,34 @@
 
         @Override
         public Void visitWaysIll(DayParser.WaysIllContext c) {
-            if (!realController) throw wrong(c, "ways lead to the real controller; a line \"controller real\" gives the day one");
-            boolean ofAgents = c.whose.getText().equals("agents");
+            String whose = c.whose.getText();
+            boolean ofLeases = whose.equals("leases");
+            if (ofLeases && leases == null) throw wrong(c, "the day has no leases; a line such as \"leases granters 3 term 1s looks 50ms\" gives it some");
+            if (!ofLeases && !realController) throw wrong(c, "ways lead to the real controller; a line \"controller real\" gives the day one");
+            boolean ofAgents = whose.equals("agents");
             if (ofAgents && changeWatch == null) throw wrong(c, "the day has no agents; a line such as \"agents watch 5s\" gives it some");
             int first = c.first == null ? 0 : relay(c.first);
             int last = c.last != null ? relay(c.last) : c.first != null ? first : relays - 1;
             if (first > last) throw wrong(c, "from " + first + " to " + last + " there is none");
             WayIll ill = wayIll(c.wayIll());
-            return lasting(c.length, play -> play.ways(ofAgents, first, last, way -> ill.set(way, true)),
-                play -> play.ways(ofAgents, first, last, way -> ill.set(way, false)));
+            return lasting(c.length, play -> play.ways(whose, first, last, way -> ill.set(way, true)),
+                play -> play.ways(whose, first, last, way -> ill.set(way, false)));
+        }
+
+        @Override
+        public Void visitFreeze(DayParser.FreezeContext c) {
+            if (racks == null) throw wrong(c, "the day has no racks; a line such as \"racks 3 each notice 3s\" gives it some");
+            String rack = c.NAME().getText();
+            if (!rack.matches("z[0-9]+r[0-9]+")) throw wrong(c.NAME().getSymbol(), "a rack is called z0r1 and so on, by its zone and its number there from 1");
+            Span in = c.in == null ? null : span(c.in);
+            Span lasting = span(c.length);
+            return add(null, play -> play.freeze(rack, in, lasting));
+        }
+
+        @Override
+        public Void visitCallOff(DayParser.CallOffContext c) {
+            int freeze = whole(c.INT().getSymbol(), 1000);
+            return add(null, play -> play.callOff(freeze));
         }
 
         private interface WayIll {
--- a/src/main/java/sprucerock/relay/ClientLink.java
+++ b/src/main/java/sprucerock/relay/ClientLink.java
@@ -15,6 +15,7 @@
 import sprucerock.wire.v1.Hello;
 import sprucerock.wire.v1.Leave;
 import sprucerock.wire.v1.Role;
+import sprucerock.wire.v1.Seen;
 
 /** A connection that somebody made to this relay: a client's, or another relay's with messages for the module. */
 final class ClientLink implements FrameUser {
@@ -51,6 +52,8 @@
     @Override
     public void frame(Kind kind, MessageLite head, byte[] body) {
         if (peer && kind == Kind.TOLD) relay.peerTold(link.other().getNumber(), body);
+        else if (peer && kind == Kind.SEEN) relay.peerSaw((Seen) head);
+        else if (peer && relay.aboutHardware(link.other().getNumber(), kind, head)) return;
         else if (peer) link.cut("a relay sends no " + kind + " here");
         else if (kind == Kind.CALL) call((Call) head, body);
         else if (kind == Kind.LEAVE) leave((Leave) head);
--- a/src/main/java/sprucerock/relay/DeskLink.java
+++ b/src/main/java/sprucerock/relay/DeskLink.java
@@ -24,10 +24,13 @@
 import sprucerock.wire.v1.Counts;
 import sprucerock.wire.v1.Hello;
 import sprucerock.wire.v1.News;
+import sprucerock.wire.v1.PromiseAsk;
+import sprucerock.wire.v1.Promised;
 import sprucerock.wire.v1.Role;
 import sprucerock.wire.v1.Say;
 import sprucerock.wire.v1.Vote;
 import sprucerock.wire.v1.Voted;
+import sprucerock.wire.v1.Worth;
 
 /** News and counts of the release desk, told to the ledger; and the module's votes, each with one answer or none in time. */
 final class DeskLink implements FrameUser {
@@ -39,6 +42,7 @@
     private final Redial redial;
     private final Map<Long, Timer> votes = new HashMap<>();
     private final Runnable learnt;
+    private final Consumer<Promised> promised;
     private long lastVote;
     private long epoch;
     private long sequence;
@@ -46,7 +50,8 @@
     private boolean stopping;
 
     DeskLink(Net net, RelayConfig config, Hello mine, Tap tap, Ledger ledger, Events events, Chance chance,
-        Consumer<Reply> answered, Runnable learnt) {
+        Consumer<Reply> answered, Consumer<Promised> promised, Runnable learnt) {
+        this.promised = promised;
         this.learnt = learnt;
         this.net = net;
         this.config = config;
@@ -70,6 +75,14 @@
         return told;
     }
 
+    void tell(Worth worth) {
+        redial.send(Kind.WORTH, worth, ClientLink.NO_BODY);
+    }
+
+    boolean ask(PromiseAsk ask) {
+        return redial.send(Kind.PROMISE_ASK, ask, ClientLink.NO_BODY);
+    }
+
     void vote(Build build, int stage, Verdict verdict) {
         long id = ++lastVote;
         Accounts accounts = ledger.accounts();
@@ -106,6 +119,7 @@
         if (kind == Kind.NEWS) news((News) head);
         else if (kind == Kind.COUNTS) counts((Counts) head);
         else if (kind == Kind.VOTED) voted((Voted) head);
+        else if (kind == Kind.PROMISED) promised.accept((Promised) head);
         else redial.cut("a release desk sends no " + kind);
     }
 
--- a/src/main/java/sprucerock/relay/Exchange.java
+++ b/src/main/java/sprucerock/relay/Exchange.java
@@ -12,8 +12,11 @@
     long id;
     long mark;
     Timer waiting;
+    /** Picks of this relay that its unit held when it was sent. */
+    final int others;
 
     Exchange(Pick pick, Moment ends) {
         super(pick, ends);
+        others = Math.max(0, pick.unit.out() - 1);
     }
 }
--- /dev/null
+++ b/src/main/java/sprucerock/relay/Looks.java
@@ -0,0 +1,144 @@
+package sprucerock.relay;
+
+import com.google.protobuf.MessageLite;
+import sprucerock.lease.Guard;
+import sprucerock.lease.Leases;
+import sprucerock.ledger.Ledger;
+import sprucerock.looks.Lookout;
+import sprucerock.model.Unit;
+import sprucerock.net.Net;
+import sprucerock.net.Timers.Timer;
+import sprucerock.serving.Events;
+import sprucerock.stats.Chance;
+import sprucerock.time.Span;
+import sprucerock.wire.FrameLink;
+import sprucerock.wire.FrameUser;
+import sprucerock.wire.Kind;
+import sprucerock.wire.v1.Hello;
+import sprucerock.wire.v1.Look;
+import sprucerock.wire.v1.Looked;
+import sprucerock.wire.v1.Role;
+
+/**
+ * Looks at units for the whole fleet while this relay holds that lease: a connection of its own, one question under the lease's number,
+ * one answer. What it finds is told to the other relays and to this one's module, which says what it is worth.
+ */
+final class Looks implements Leases.Task {
+    static final String LEASE = "looks";
+    private static final Span PATIENCE = Span.ofMs(500); // a unit that is there answers within some milliseconds; a paused one may take longer
+    private static final int AT_ONCE = 16;
+
+    /** What it needs of the relay. */
+    interface Owner {
+        /** A connection to a unit, as any pick's. */
+        void look(Unit unit, FrameUser user, LinkTaker taker);
+
+        /** What was found, for this relay's module and the others'. */
+        void seen(long unit, boolean answered, long number);
+    }
+
+    /** Gets the link that was begun. */
+    interface LinkTaker {
+        void take(FrameLink link);
+    }
+
+    private final Net net;
+    private final Ledger ledger;
+    private final Events events;
+    private final Span every;
+    private final Chance chance;
+    private final Owner owner;
+    private Lookout lookout;
+    private Guard guard;
+    private int open;
+
+    Looks(Net net, Ledger ledger, Events events, Span every, Chance chance, Owner owner) {
+        this.net = net;
+        this.ledger = ledger;
+        this.events = events;
+        this.every = every;
+        this.chance = chance;
+        this.owner = owner;
+    }
+
+    @Override
+    public void begun(Guard by) {
+        guard = by;
+        lookout = new Lookout(chance::next);
+        turn(by);
+    }
+
+    @Override
+    public void ended(String why) {
+        guard = null;
+    }
+
+    private void turn(Guard by) {
+        if (guard != by) return;
+        for (Unit unit : ledger.units()) {
+            if (unit.ready()) lookout.ready(unit.id, net.now());
+            else lookout.left(unit.id);
+        }
+        if (open < AT_ONCE) {
+            long next = lookout.next(net.now());
+            Unit unit = next < 0 ? null : ledger.unit(next);
+            if (unit == null || !unit.ready()) lookout.left(next);
+            else by.act(PATIENCE, number -> new One(by, unit, number).begin());
+        }
+        net.at(net.now().plus(every), () -> turn(by));
+    }
+
+    private final class One implements FrameUser {
+        private final Guard by;
+        private final Unit unit;
+        private final long number;
+        private FrameLink link;
+        private Timer late;
+        private boolean done;
+
+        One(Guard by, Unit unit, long number) {
+            this.by = by;
+            this.unit = unit;
+            this.number = number;
+        }
+
+        void begin() {
+            open++;
+            owner.look(unit, this, made -> link = made);
+            late = net.patiently(PATIENCE, () -> end(null)); // this relay's own standing still is not the unit's
+        }
+
+        /** {@code looked}: null where it gave no sign. */
+        private void end(Looked looked) {
+            if (done) return;
+            done = true;
+            open--;
+            late.cancel();
+            link.cut("looked at");
+            if (looked != null && !looked.getTaken()) {
+                events.warn(Events.Kind.LEASE, "a look under " + number + " was refused by unit " + unit.id + ", which saw " + looked.getHighest());
+                by.refused(looked.getHighest());
+            } else if (guard == by && by.held()) {
+                boolean tell = looked != null ? lookout.answered(unit.id, Span.ofMs(looked.getIdleUs() / 1000.0), net.now()) : lookout.silent(unit.id, net.now());
+                if (tell) owner.seen(unit.id, looked != null, number);
+            }
+        }
+
+        @Override
+        public void greeted(FrameLink made, Hello other) {
+            if (other.getRole() != Role.UNIT || Integer.toUnsignedLong(other.getNumber()) != unit.id) end(null);
+            // to connect took time, in which this process may have stood still
+            else if (!by.act(now -> made.send(Kind.LOOK, Look.newBuilder().setLease(LEASE).setNumber(number).build(), ClientLink.NO_BODY))) end(null);
+        }
+
+        @Override
+        public void frame(Kind kind, MessageLite head, byte[] body) {
+            end(kind == Kind.LOOKED ? (Looked) head : null);
+        }
+
+        @Override
+        public void closed(String why) {
+            end(null);
+        }
+    }
+}
--- a/src/main/java/sprucerock/relay/Peers.java
+++ b/src/main/java/sprucerock/relay/Peers.java
@@ -16,6 +16,7 @@
 import sprucerock.wire.Tap;
 import sprucerock.wire.v1.Hello;
 import sprucerock.wire.v1.Role;
+import sprucerock.wire.v1.Seen;
 import sprucerock.wire.v1.Told;
 
 /** Links to the other relays, made when the module first has something to tell. A message that can't go now is dropped. */
@@ -44,10 +45,13 @@
     }
 
     void tell(int number, byte[] contents) {
+        count(tell(number, Kind.TOLD, Told.getDefaultInstance(), contents));
+    }
+
+    private boolean tell(int number, Kind kind, MessageLite head, byte[] contents) {
         InetSocketAddress address = config.peers.get(number);
         if (address == null || stopping) {
-            count(false);
-            return;
+            return false;
         }
         Redial link = links.get(number);
         if (link == null) {
@@ -57,7 +61,22 @@
         }
         // one that reads slowly loses messages, as the module expects, and is not cut for it
         boolean room = link.usable() && link.unsent() + contents.length <= config.peerUnsent;
-        count(room && link.send(Kind.TOLD, Told.getDefaultInstance(), contents));
+        return room && link.send(kind, head, contents);
+    }
+
+    /** To all, or dropped. */
+    void tellAll(Kind kind, MessageLite head) {
+        for (int number : config.peers.keySet()) tell(number, kind, head, ClientLink.NO_BODY);
+    }
+
+    /** To one, or dropped. */
+    void tell(int number, Kind kind, MessageLite head) {
+        tell(number, kind, head, ClientLink.NO_BODY);
+    }
+
+    /** What a look found, to all. */
+    void seen(Seen seen) {
+        tellAll(Kind.SEEN, seen);
     }
 
     private void count(boolean sent) {
--- /dev/null
+++ b/src/main/java/sprucerock/relay/Racks.java
@@ -0,0 +1,123 @@
+package sprucerock.relay;
+
+import java.util.HashMap;
+import java.util.Map;
+import sprucerock.config.RelayConfig;
+import sprucerock.model.Unit;
+import sprucerock.net.Net;
+import sprucerock.net.Timers.Timer;
+import sprucerock.serving.Events;
+import sprucerock.shared.Picture;
+import sprucerock.shared.Shared;
+import sprucerock.stats.Chance;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+import sprucerock.wire.v1.PromiseAsk;
+import sprucerock.wire.v1.Promised;
+import sprucerock.wire.v1.RackFree;
+
+/**
+ * Until when this relay may place work on which rack, as the controller promised. It counts from before it asked, by its own clock,
+ * shortened by what clocks may differ, and stops as long before as the longest RPC may run. Before the first promise it places on all
+ * racks: it can't know which there are. Cut off from the controller it goes on by what it was promised, and stops rack by rack as that
+ * runs out.
+ */
+final class Racks {
+    /** What it needs of the relay. */
+    interface Owner {
+        /** False where nobody can be asked. */
+        boolean ask(PromiseAsk ask);
+
+        /** Some rack is free that was not, or the other way round. */
+        void racksChanged();
+    }
+
+    private static final Span SPREAD = Span.ofMs(100); // over which relays that were told together ask
+
+    private final Net net;
+    private final RelayConfig config;
+    private final Events events;
+    private final Chance chance;
+    private final Owner owner;
+    private final Shared shared = new Shared();
+    private final Map<Long, Moment> asked = new HashMap<>();
+    private long lastAsk;
+    private long epoch;
+    private Timer next;
+    private Timer turns;
+    private boolean stopped;
+
+    Racks(Net net, RelayConfig config, Events events, Chance chance, Owner owner) {
+        this.net = net;
+        this.config = config;
+        this.events = events;
+        this.chance = chance;
+        this.owner = owner;
+    }
+
+    void start() {
+        if (config.racksEvery != null) ask();
+    }
+
+    void stop() {
+        stopped = true;
+        if (next != null) next.cancel();
+        if (turns != null) turns.cancel();
+    }
+
+    private void ask() {
+        if (stopped) return;
+        asked.clear(); // an answer that took longer than a round is of no use: the next one is on its way
+        PromiseAsk ask = PromiseAsk.newBuilder().setId(++lastAsk).setHolds(shared.take().sequence()).build();
+        asked.put(lastAsk, net.now());
+        owner.ask(ask);
+        next = net.at(net.now().plus(config.racksEvery.times(0.75 + 0.5 * chance.next())), this::ask);
+    }
+
+    void told(Promised promised) {
+        if (config.racksEvery == null || stopped) return;
+        if (promised.getId() == 0) { // something has changed
+            next.cancel();
+            next = net.at(net.now().plus(SPREAD.times(chance.next())), this::ask);
+            return;
+        }
+        Moment from = asked.remove(promised.getId());
+        if (from == null) return;
+        if (promised.getEpoch() < epoch) {
+            events.warn(Events.Kind.NEWS_REFUSED, "a promise of epoch " + promised.getEpoch() + ", " + epoch + " was heard");
+            return;
+        }
+        epoch = promised.getEpoch();
+        double shorter = (1 - config.racksDrift) / (1 + config.racksDrift);
+        Map<Integer, Moment> until = new HashMap<>();
+        for (RackFree rack : promised.getRacksList()) {
+            until.put(Picture.key(rack.getZone(), rack.getCell()), from.plus(Span.ofMs(rack.getLeftMs() * shorter)));
+        }
+        if (shared.put(new Picture(promised.getSequence(), until))) look();
+    }
+
+    /** Now, and when the next rack has to be left. */
+    private void look() {
+        if (turns != null) turns.cancel();
+        owner.racksChanged();
+        turns = net.at(net.now().plus(Span.ofMs(50)), this::look); // a fifth of the shortest deadline that is in use, and cheap
+    }
+
+    /** Whether new work may be placed on the unit: all that may run there is over before its rack may be frozen. */
+    boolean mayPlace(Unit unit) {
+        return mayPlace(unit.zone, unit.cell, net.now(), config.longestDeadline);
+    }
+
+    boolean mayPlace(int zone, int cell) {
+        return mayPlace(zone, cell, net.now(), config.longestDeadline);
+    }
+
+    /** The same at the last instant before it goes out: this process may have stood still since the module chose. */
+    boolean mayStillPlace(Unit unit) {
+        return mayPlace(unit.zone, unit.cell, net.clock(), Span.ZERO);
+    }
+
+    private boolean mayPlace(int zone, int cell, Moment now, Span takes) {
+        return shared.take().mayPlace(Picture.key(zone, cell), now.ms(), takes.ms());
+    }
+}
--- a/src/main/java/sprucerock/relay/Relay.java
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -1,11 +1,15 @@
 package sprucerock.relay;
 
+import com.google.protobuf.MessageLite;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import sprucerock.config.RelayConfig;
+import sprucerock.lease.Fence;
+import sprucerock.lease.GranterDoor;
+import sprucerock.lease.Leases;
 import sprucerock.ledger.Accounts;
 import sprucerock.ledger.Ledger;
 import sprucerock.model.Build;
@@ -25,18 +29,25 @@
 import sprucerock.tls.Refusal;
 import sprucerock.tls.TlsLink;
 import sprucerock.wire.FrameLink;
+import sprucerock.wire.FrameUser;
+import sprucerock.wire.Kind;
 import sprucerock.wire.Tap;
 import sprucerock.wire.v1.Call;
 import sprucerock.wire.v1.Ending;
+import sprucerock.wire.v1.Fitter;
 import sprucerock.wire.v1.Hello;
+import sprucerock.wire.v1.PromiseAsk;
 import sprucerock.wire.v1.Role;
+import sprucerock.wire.v1.Seen;
+import sprucerock.wire.v1.Tallied;
+import sprucerock.wire.v1.Worth;
 
 /**
  * The router: tells the module what happens on its links and carries out what it chooses. Where a limit is reached it
  * has the answers that the configuration states, and none else; it chooses no unit, no further pick and no vote. All of
  * it runs on the loop's thread.
  */
-public final class Relay extends Carrier implements UnitLinks.Owner {
+public final class Relay extends Carrier implements UnitLinks.Owner, Looks.Owner, Racks.Owner, Fitting.Owner {
     // rows of figures; what is beyond counts as other. A monitor bears some thousand series a relay
     private static final int BUILDS = 16;
     private static final int UNITS = 1024;
@@ -53,6 +64,11 @@
     private final Peers peers;
     private final DeskLink desk;
     private final RosterLink roster;
+    private final Racks racks;
+    private final Fitting fitting; // null: it takes no part in that
+    private final Leases leases; // null: none are configured
+    private GranterDoor granter;
+    private final Fence fence = new Fence();
     private final Set<ClientLink> clients = new LinkedHashSet<>();
     private Net.Listener listener;
     private boolean taking;
@@ -78,9 +94,25 @@
             .setName(config.name).build();
         secured = new Secured(config, net, events, accounts);
         peers = new Peers(net, config, mine, tap, events, chance, accounts, secured);
-        desk = new DeskLink(net, config, mine, tap, ledger, events, chance, reply -> module.voteAnswered(reply), this::learnt);
-        roster = new RosterLink(net, config, mine, tap, ledger, events, chance, this, () -> module.listFailed(),
+        racks = new Racks(net, config, events, chance, this);
+        desk = new DeskLink(net, config, mine, tap, ledger, events, chance, reply -> module.voteAnswered(reply), promised -> racks.told(promised), this::learnt);
+        roster = new RosterLink(net, config, mine, tap, ledger, events, chance, this, racks, () -> module.listFailed(),
             this::learnt);
+        Leases.Log say = new Leases.Log() {
+            @Override
+            public void info(String what) {
+                events.info(Events.Kind.LEASE, what);
+            }
+
+            @Override
+            public void warn(String what) {
+                events.warn(Events.Kind.GRANTER_LOST, what);
+            }
+        };
+        leases = config.leases == null ? null : new Leases(net, config.leases, config.name, Leases.newLife(), tap, System::currentTimeMillis, say);
+        boolean fits = config.leases != null && config.leases.fitsEvery() != null;
+        fitting = !fits ? null : new Fitting(net, config.settings.index, config.leases.fitsEvery(), System::currentTimeMillis, build -> build < ledger.newestTried(), events, this);
+        if (config.leases != null && config.leases.granter() >= 0) granter = new GranterDoor(net, config.leases, config.name, tap, say);
     }
 
     /**
@@ -112,6 +144,16 @@
         });
         roster.start();
         desk.start();
+        racks.start();
+        if (granter != null) granter.start();
+        if (leases != null) {
+            leases.start();
+            if (fitting != null) {
+                fitting.start(aside);
+                leases.stand(Fitting.LEASE, fitting);
+            }
+            if (config.leases.looksEvery() != null) leases.stand(Looks.LEASE, new Looks(net, ledger, events, config.leases.looksEvery(), chance, this));
+        }
         net.at(net.now().plus(config.waitForList), () -> letClientsIn("without list or news, which did not come in time"));
         net.at(net.now().plus(FIGURES), this::figures);
         checkFigures();
@@ -192,6 +234,7 @@
         if (finishing) return;
         finishing = true;
         finished = done;
+        if (leases != null) leases.stop(); // before its last RPCs end: others may do the fleet's tasks meanwhile
         listener.close();
         events.info(Events.Kind.FINISHING, ledger.open() + " RPCs are open");
         net.at(net.now().plus(live.finishWithin), this::abortOpen);
@@ -225,9 +268,12 @@
         if (finished == null) return;
         Runnable done = finished;
         finished = null;
+        racks.stop();
+        if (fitting != null) fitting.stop();
         desk.stop();
         roster.stop();
         peers.stop();
+        if (granter != null) granter.stop();
         secured.stop();
         for (ClientLink client : clients) client.finish();
         figures();
@@ -283,6 +329,63 @@
         if (sender >= 0 && sender < config.settings.relays) module.peerTold(sender, contents);
     }
 
+    /** Another relay looked at a unit; who looks under a lower number than was heard stood still meanwhile. */
+    void peerSaw(Seen seen) {
+        if (fence.admits(Looks.LEASE, seen.getNumber())) ledger.looked(seen.getUnit(), seen.getAnswered());
+    }
+
+    /** What another relay says of hardware; false where it is about something else. */
+    boolean aboutHardware(int relay, Kind kind, MessageLite head) {
+        if (fitting == null || kind != Kind.FITTER && kind != Kind.TALLIED && kind != Kind.WORTH) return false;
+        if (kind == Kind.FITTER) fitting.fitter(relay, (Fitter) head);
+        else if (kind == Kind.TALLIED) fitting.tallied(relay, (Tallied) head);
+        else fitting.worth((Worth) head);
+        return true;
+    }
+
+    @Override
+    public void tellFitter(Fitter fitter) {
+        peers.tellAll(Kind.FITTER, fitter);
+    }
+
+    @Override
+    public void tellTally(int relay, Tallied tally) {
+        peers.tell(relay, Kind.TALLIED, tally);
+    }
+
+    @Override
+    public void tellWorth(Worth worth) {
+        peers.tellAll(Kind.WORTH, worth);
+        desk.tell(worth);
+    }
+
+    @Override
+    public void ended(sprucerock.serving.Exchange exchange, Outcome outcome, byte[] body) {
+        boolean first = !exchange.over();
+        super.ended(exchange, outcome, body);
+        if (first && outcome == Outcome.OK && fitting != null) fitting.ended(exchange.pick(), ((Exchange) exchange).others);
+    }
+
+    @Override
+    public void look(Unit unit, FrameUser user, Looks.LinkTaker taker) {
+        FrameLink link = new FrameLink(net, mine, config.link, tap, user);
+        taker.take(link);
+        UnitLinks door = (UnitLinks) unit.door;
+        secured.toUnit(unit.id, door.address(), door.name(), link);
+    }
+
+    @Override
+    public void seen(long unit, boolean answered, long number) {
+        Seen seen = Seen.newBuilder().setUnit(unit).setAnswered(answered).setNumber(number).build();
+        peerSaw(seen);
+        peers.seen(seen);
+    }
+
+    /** Leases that were taken, lost and are held since the start; null where none are configured. From any thread. */
+    public Leases.Figures leases() {
+        return leases == null ? null : leases.figures();
+    }
+
     void gone(ClientLink client, boolean peer, String why) {
         clients.remove(client);
         if (!why.equals("closed by the other side") && !finishing) {
@@ -295,7 +398,7 @@
     @Override
     public void open(UnitLink link, InetSocketAddress to, String name) {
         link.link = new FrameLink(net, mine, config.link, tap, link);
-        secured.toUnit(link, to, name, link.link);
+        secured.toUnit(link.unit().id, to, name, link.link);
     }
 
     @Override
@@ -330,9 +433,21 @@
         return new Exchange(pick, ends);
     }
 
+    @Override
+    public boolean ask(PromiseAsk ask) {
+        return desk.ask(ask);
+    }
+
+    @Override
+    public void racksChanged() {
+        roster.racksChanged();
+    }
+
     @Override
     protected void toUnit(sprucerock.serving.Exchange exchange) {
-        links(exchange).send((Exchange) exchange);
+        // guards against a process that stood still between the module's choice and now; the pick never ran
+        if (!racks.mayStillPlace(exchange.pick().unit)) endsSoon((Exchange) exchange, Outcome.NOT_CONNECTED);
+        else links(exchange).send((Exchange) exchange);
     }
 
     @Override
--- a/src/main/java/sprucerock/relay/RosterLink.java
+++ b/src/main/java/sprucerock/relay/RosterLink.java
@@ -42,13 +42,17 @@
     private final Runnable listFailed;
     private final Redial redial;
     private final Map<Long, Run> runs = new HashMap<>();
+    /** As they were listed last, where they may get work if their racks may. */
+    private final Map<Long, Entry> ready = new HashMap<>();
+    private final Racks racks;
     private final Runnable learnt;
     private boolean listed;
     private boolean asked;
     private boolean stopping;
 
     RosterLink(Net net, RelayConfig config, Hello mine, Tap tap, Ledger ledger, Events events, Chance chance,
-        UnitLinks.Owner owner, Runnable listFailed, Runnable learnt) {
+        UnitLinks.Owner owner, Racks racks, Runnable listFailed, Runnable learnt) {
+        this.racks = racks;
         this.learnt = learnt;
         this.net = net;
         this.config = config;
@@ -155,13 +159,24 @@
         if (known != null && (!sameRun || moved)) leave(known);
         if (moved) ledger.removed(known.id);
         Unit unit = ledger.listed(entry.getUnit(), entry.getZone(), entry.getKind(), entry.getCell(), entry.getBuild(),
-            run.started, entry.getWeight(), entry.getHealth() == Health.READY);
+            run.started, entry.getWeight(), entry.getHealth() == Health.READY && racks.mayPlace(entry.getZone(), entry.getCell()));
+        if (entry.getHealth() == Health.READY) ready.put(unit.id, entry);
+        else ready.remove(unit.id);
         if (unit.door == null) unit.door = new UnitLinks(unit, address, entry.getName(), config, chance, owner);
         if (entry.getHealth() == Health.DRAINING) leave(unit);
     }
 
+    /** Units of a rack that must be left are told as such that drain, and once it may be used again as listed: the module knows no racks. */
+    void racksChanged() {
+        for (Unit unit : ledger.units()) {
+            Entry entry = ready.get(unit.id);
+            if (entry != null && unit.ready() != racks.mayPlace(unit)) take(entry);
+        }
+    }
+
     private void removed(Unit unit) {
         runs.remove(unit.id);
+        ready.remove(unit.id);
         ledger.removed(unit.id);
         leave(unit);
     }
--- a/src/main/java/sprucerock/relay/Secured.java
+++ b/src/main/java/sprucerock/relay/Secured.java
@@ -59,9 +59,9 @@
         return tls;
     }
 
-    void toUnit(UnitLink link, InetSocketAddress to, String name, FrameLink user) {
+    void toUnit(long unit, InetSocketAddress to, String name, FrameLink user) {
         if (tls == null || !config.tlsUnits) net.connect(to, config.connectWithin, config.link.unsent(), user);
-        else tls.connect(link.unit().id, name, to, config.connectWithin, config.link.unsent(), user);
+        else tls.connect(unit, name, to, config.connectWithin, config.link.unsent(), user);
     }
 
     Redial.Connector toPeer(int number) {
--- a/src/main/java/sprucerock/relay/UnitLinks.java
+++ b/src/main/java/sprucerock/relay/UnitLinks.java
@@ -77,6 +77,10 @@
     }
 
     /** That its certificate has to carry. */
+    InetSocketAddress address() {
+        return address;
+    }
+
     String name() {
         return name;
     }
--- a/src/main/java/sprucerock/standin/UnitStandIn.java
+++ b/src/main/java/sprucerock/standin/UnitStandIn.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import sprucerock.lease.Fence;
 import sprucerock.net.LinkUser;
 import sprucerock.net.Net;
 import sprucerock.time.Moment;
@@ -24,6 +25,8 @@
 import sprucerock.wire.Limits;
 import sprucerock.wire.v1.Done;
 import sprucerock.wire.v1.Hello;
+import sprucerock.wire.v1.Look;
+import sprucerock.wire.v1.Looked;
 import sprucerock.wire.v1.Result;
 import sprucerock.wire.v1.Role;
 import sprucerock.wire.v1.Stop;
@@ -136,6 +139,8 @@
     }
 
     private int generation;
+    private Moment called;
+    private final Fence fence = new Fence();
 
     public int port() {
         return port;
@@ -298,6 +303,7 @@
                 return;
             }
             if (kind == Kind.WORK) {
+                called = net.now();
                 Job job = new Job();
                 job.session = this;
                 job.work = (Work) head;
@@ -305,6 +311,8 @@
                 job.came = net.now();
                 jobs.put(job.work.getId(), job);
                 UnitStandIn.this.take(job);
+            } else if (kind == Kind.LOOK) {
+                look((Look) head);
             } else if (kind == Kind.STOP) {
                 Job job = jobs.get(((Stop) head).getId());
                 if (job != null) job.stopped = true; // dropped if it still waits; running work goes on
@@ -313,6 +321,14 @@
             }
         }
 
+        private void look(Look look) {
+            if (hangs || paused) return; // its process gives no sign
+            boolean taken = fence.admits(look.getLease(), look.getNumber());
+            trace.note("LOOK", "unit=" + id + " lease=" + look.getLease() + " number=" + look.getNumber() + " by=" + link.other().getNumber() + " taken=" + taken);
+            link.send(Kind.LOOKED, Looked.newBuilder().setTaken(taken).setHighest(fence.highest(look.getLease()))
+                .setIdleUs(called == null ? Long.MAX_VALUE : (long) (net.now().since(called).ms() * 1000)).build(), NO_BODY);
+        }
+
         @Override
         public void closed(String why) {
             sessions.remove(this);
--- a/src/main/java/sprucerock/wire/Kind.java
+++ b/src/main/java/sprucerock/wire/Kind.java
@@ -9,19 +9,33 @@
 import sprucerock.wire.v1.Counts;
 import sprucerock.wire.v1.Done;
 import sprucerock.wire.v1.Fetch;
+import sprucerock.wire.v1.Fitter;
 import sprucerock.wire.v1.Flag;
 import sprucerock.wire.v1.Hello;
+import sprucerock.wire.v1.LeaseAsk;
+import sprucerock.wire.v1.LeaseBack;
+import sprucerock.wire.v1.LeaseFree;
+import sprucerock.wire.v1.LeaseList;
+import sprucerock.wire.v1.LeaseListed;
+import sprucerock.wire.v1.LeaseSaid;
 import sprucerock.wire.v1.Leave;
 import sprucerock.wire.v1.Listing;
+import sprucerock.wire.v1.Look;
+import sprucerock.wire.v1.Looked;
 import sprucerock.wire.v1.News;
 import sprucerock.wire.v1.Piece;
+import sprucerock.wire.v1.PromiseAsk;
+import sprucerock.wire.v1.Promised;
+import sprucerock.wire.v1.Seen;
 import sprucerock.wire.v1.Stop;
+import sprucerock.wire.v1.Tallied;
 import sprucerock.wire.v1.Told;
 import sprucerock.wire.v1.Vote;
 import sprucerock.wire.v1.Voted;
 import sprucerock.wire.v1.Wants;
 import sprucerock.wire.v1.Watch;
 import sprucerock.wire.v1.Work;
+import sprucerock.wire.v1.Worth;
 
 /** What a frame is, by the number that stands in it. */
 public enum Kind {
@@ -44,9 +58,23 @@
     AGENT(17, AgentSays.parser(), false),
     WANTS(18, Wants.parser(), false),
     FETCH(19, Fetch.parser(), false),
-    PIECE(20, Piece.parser(), true);
+    PIECE(20, Piece.parser(), true),
+    LEASE_ASK(21, LeaseAsk.parser(), false),
+    LEASE_SAID(22, LeaseSaid.parser(), false),
+    LEASE_BACK(23, LeaseBack.parser(), false),
+    LEASE_FREE(24, LeaseFree.parser(), false),
+    LEASE_LIST(25, LeaseList.parser(), false),
+    LEASE_LISTED(26, LeaseListed.parser(), false),
+    LOOK(27, Look.parser(), false),
+    LOOKED(28, Looked.parser(), false),
+    SEEN(29, Seen.parser(), false),
+    PROMISE_ASK(30, PromiseAsk.parser(), false),
+    PROMISED(31, Promised.parser(), false),
+    FITTER(32, Fitter.parser(), false),
+    TALLIED(33, Tallied.parser(), false),
+    WORTH(34, Worth.parser(), false);
 
-    private static final Kind[] BY_CODE = new Kind[21];
+    private static final Kind[] BY_CODE = new Kind[35];
 
     static {
         for (Kind kind : values()) BY_CODE[kind.code] = kind;
--- a/src/test/java/sprucerock/ArchitectureTest.java
+++ b/src/test/java/sprucerock/ArchitectureTest.java
@@ -38,16 +38,21 @@
             {"wire", "time stats net wire.v1"},
             {"config", "time model wire tls"},
             {"figures", "ledger"},
-            {"relay", "time stats model host ledger serving config net tls wire wire.v1"},
+            {"lease", "time stats config net wire wire.v1"},
+            {"looks", "time"},
+            {"hardware", ""},
+            {"freeze", "hardware"},
+            {"shared", "time"},
+            {"relay", "time stats model host ledger serving config lease looks shared hardware net tls wire wire.v1"},
             {"trace", "time net net.nio wire wire.v1"},
             {"judge", "time trace wire wire.v1"},
             {"compare", ""},
             {"change", "time"},
-            {"controller", "time change compare controller.v1"},
+            {"controller", "time change compare freeze hardware controller.v1"},
             {"versions", ""},
             {"agent", "time model stats ledger figures change config net net.nio versions wire wire.v1"},
-            {"desk", "time net net.nio config change compare versions controller controller.v1 wire wire.v1"},
-            {"standin", "time stats net tls trace wire wire.v1"},
+            {"desk", "time lease freeze net net.nio config change compare versions controller controller.v1 wire wire.v1"},
+            {"standin", "time stats lease net tls trace wire wire.v1"},
             {"recovery", "trace wire wire.v1"},
             {"rehearsal", "time net net.nio tls trace judge recovery figures ledger desk standin wire wire.v1"},
         };
@@ -79,6 +84,12 @@
         }
         noClasses().that().haveFullyQualifiedName("sprucerock.controller.Releases").or().haveFullyQualifiedName("sprucerock.controller.Release").should()
             .dependOnClassesThat().resideInAnyPackage("java.io", "java.net", "java.nio..", "java.util.concurrent..", "sprucerock.net..").check(ALL);
+        for (String core : new String[] {"lease.Granter", "lease.Candidate", "lease.Guard", "lease.Fence", "lease.Terms", "lease.Grant", "looks.Lookout", "hardware.Fit", "hardware.Seen", "hardware.Tally", "hardware.Translation", "freeze.Freezes", "freeze.Freeze", "freeze.Headroom"}) {
+            noClasses().that().haveFullyQualifiedName("sprucerock." + core).should().dependOnClassesThat().resideInAnyPackage("java.io", "java.net", "java.nio..",
+                "java.util.concurrent..", "sprucerock.net..", "sprucerock.wire..", "sprucerock.config..").check(ALL);
+            noClasses().that().haveFullyQualifiedName("sprucerock." + core).should().callMethod(System.class, "nanoTime").orShould()
+                .callMethod(System.class, "currentTimeMillis").check(ALL);
+        }
         noClasses().that().haveFullyQualifiedName("sprucerock.Policy").should().dependOnClassesThat()
             .resideInAnyPackage("java.io", "java.net", "java.nio..", "sprucerock.net..", "sprucerock.relay..", "sprucerock.sim..").check(ALL);
     }
--- a/src/test/java/sprucerock/controller/EngineTest.java
+++ b/src/test/java/sprucerock/controller/EngineTest.java
@@ -282,11 +282,11 @@
             engine.start();
             live(engine, new SplittableRandom(3), new ArrayList<>(), 300);
             while (engine.releases().due(engine.now()) || engine.changes().due(engine.now())) engine.commit(); // what a restart would do at once
-            var before = Codec.write(engine.releases(), engine.changes(), 0).toBuilder().clearEpoch().build();
+            var before = Codec.write(engine.releases(), engine.changes(), engine.freezes(), 0).toBuilder().clearEpoch().build();
             disk.restart(Long.MAX_VALUE);
             Engine next = engine(disk, every);
             next.start();
-            assertEquals(Codec.write(next.releases(), next.changes(), 0).toBuilder().clearEpoch().build(), before);
+            assertEquals(Codec.write(next.releases(), next.changes(), next.freezes(), 0).toBuilder().clearEpoch().build(), before);
             assertTrue(every > 5 || disk.list().size() <= 6, disk.list().toString());
         }
     }
--- a/src/test/java/sprucerock/controller/LeaseTest.java
+++ b/src/test/java/sprucerock/controller/FolderSeatTest.java
@@ -13,7 +13,7 @@
 import sprucerock.time.Span;
 
 /** Two controllers over one folder: never do both act. */
-public class LeaseTest {
+public class FolderSeatTest {
     private static final Span TIME = Span.ofMs(1000);
 
     /** A folder in memory, of which a lease needs little. */
@@ -71,11 +71,11 @@
         disk = new Memory();
     }
 
-    private Lease lease(String holder) throws Exception {
-        return new Lease(disk, clock, TIME, holder);
+    private FolderSeat lease(String holder) throws Exception {
+        return new FolderSeat(disk, clock, TIME, holder);
     }
 
-    private long takes(Lease lease, long patience) throws Exception {
+    private long takes(FolderSeat lease, long patience) throws Exception {
         long from = now;
         while (!lease.take()) {
             now += 100;
@@ -86,8 +86,8 @@
 
     @Test
     public void theFirstTakesItAndTheSecondWaits() throws Exception {
-        Lease a = lease("a");
-        Lease b = lease("b");
+        FolderSeat a = lease("a");
+        FolderSeat b = lease("b");
         assertTrue(takes(a, 5000) >= 0);
         for (int i = 0; i < 50; i++) {
             now += 200;
@@ -98,24 +98,24 @@
 
     @Test
     public void itIsTakenOverAfterItsTimeAndAtOnceWhereItWasGivenBack() throws Exception {
-        Lease a = lease("a");
+        FolderSeat a = lease("a");
         takes(a, 5000);
-        Lease b = lease("b");
+        FolderSeat b = lease("b");
         b.take();
         long after = takes(b, 10_000);
         assertTrue(after >= TIME.ms() && after <= 2 * TIME.ms(), after + " ms");
         assertFalse(a.holds());
         b.release();
-        Lease c = lease("c");
+        FolderSeat c = lease("c");
         c.take();
         assertTrue(takes(c, 5000) <= TIME.ms());
     }
 
     @Test
     public void oneThatWasHeldUpWakesWithoutIt() throws Exception {
-        Lease a = lease("a");
+        FolderSeat a = lease("a");
         takes(a, 5000);
-        Lease b = lease("b");
+        FolderSeat b = lease("b");
         takes(b, 10_000); // while a stands still
         assertFalse(a.holds());
         assertFalse(a.renew());
@@ -128,7 +128,7 @@
         for (int seed = 0; seed < 60; seed++) {
             disk = new Memory();
             SplittableRandom random = new SplittableRandom(seed);
-            List<Lease> all = new ArrayList<>();
+            List<FolderSeat> all = new ArrayList<>();
             for (int i = 0; i < 4; i++) all.add(lease("h" + i));
             boolean[] has = new boolean[4];
             int most = 0;
@@ -137,10 +137,10 @@
                 int who = random.nextInt(4);
                 boolean stalls = random.nextInt(25) == 0; // one stands still for longer than the time
                 if (stalls) now += 1500;
-                Lease lease = all.get(who);
+                FolderSeat lease = all.get(who);
                 has[who] = has[who] ? lease.renew() : lease.take();
                 int holders = 0;
-                for (Lease one : all) holders += one.holds() ? 1 : 0;
+                for (FolderSeat one : all) holders += one.holds() ? 1 : 0;
                 most = Math.max(most, holders);
                 assertTrue(holders <= 1, holders + " hold it, seed " + seed + ", step " + step);
             }
--- a/src/test/java/sprucerock/relay/Told.java
+++ b/src/test/java/sprucerock/relay/Told.java
@@ -73,6 +73,11 @@
         say("counted " + build.number, m -> m.counted(build, method, picks, failed, mean));
     }
 
+    @Override
+    public void looked(Unit unit, boolean answered) {
+        say("looked " + unit.id + " " + answered, m -> m.looked(unit, answered));
+    }
+
     @Override
     public void flagged(Unit unit) {
         say("flagged " + unit.id, m -> m.flagged(unit));
