--- a/src/main/java/sprucerock/desk/Desk.java
+++ b/src/main/java/sprucerock/desk/Desk.java
@@ -212,11 +212,15 @@
 
             @Override
             public void promisesChanged() {
-                if (!engine().replaying()) loop.atTurnsEnd(() -> relays.promisesChanged());
+                if (!engine().replaying()) loop.post(Desk.this::tellPromises); // a start happens on another thread
             }
         };
     }
 
+    private void tellPromises() {
+        if (relays != null) relays.promisesChanged(); // else nobody is linked yet
+    }
+
     /** What relays are promised; on the loop. */
     Promises promises() {
         return promises;
--- a/src/main/java/sprucerock/rehearsal/Play.java
+++ b/src/main/java/sprucerock/rehearsal/Play.java
@@ -155,12 +155,14 @@
     public void run() throws IOException, InterruptedException {
         try {
             onLoop(this::set);
+            // with leases the controller's seat is granted by relays
+            if (leases != null) for (RelayProcess relay : relays) relay.start();
             if (controller != null) {
                 controller.start();
                 controller.await();
                 if (racks != null) controller.watchFreezes();
             }
-            for (RelayProcess relay : relays) relay.start();
+            if (leases == null) for (RelayProcess relay : relays) relay.start();
             awaitRelays();
             monitor = new MonitorStandIn(scraped, SCRAPE_MS);
             monitor.start();
