A relay that starts places nothing on racks before its first promise

Ruled out: a promise that reached in; these relays held none. At fault: Racks.mayPlace, where an empty picture meant all free.

--- a/src/main/java/sprucerock/rehearsal/LeasesOfDay.java
+++ b/src/main/java/sprucerock/rehearsal/LeasesOfDay.java
@@ -5,7 +5,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import sprucerock.net.Net;
 import sprucerock.standin.WayStandIn;
@@ -13,7 +15,7 @@
 
 /**
  * The leases of a day: its first relays are granters too, all relays stand for the looks, and each reaches each granter by a way of its
- * own; the controller's lead on behind those of the relays.
+ * own. The controller's ways are its own too, and whole: a line names relays.
  */
 final class LeasesOfDay {
     /** As a line of the script has them. */
@@ -22,7 +24,7 @@
     private final Plan plan;
     private final Net net;
     private final List<Integer> ports = new ArrayList<>();
-    private final List<List<WayStandIn>> ways = new ArrayList<>();
+    private final Map<Integer, List<WayStandIn>> ways = new TreeMap<>();
 
     /** {@code ports}: where the granters listen. */
     LeasesOfDay(Plan plan, Net net, List<Integer> ports) {
@@ -42,13 +44,13 @@
             xml.append("    <granter host=\"127.0.0.1\" port=\"" + way.start() + "\"/>\n");
             own.add(way);
         }
-        ways.add(own);
+        ways.put(who, own);
         if (looks) xml.append("    <stand for=\"looks\" every=\"" + (long) plan.looks().ms() + "ms\"/>\n    <stand for=\"fit\" every=\"2s\"/>\n");
         return xml.append("  </leases>\n").toString();
     }
 
     /** All ways of some processes to the granters. */
     void ways(int first, int last, Consumer<WayStandIn> what) {
-        for (List<WayStandIn> own : ways.subList(first, last + 1)) own.forEach(what);
+        for (int who = first; who <= last; who++) ways.get(who).forEach(what);
     }
 }
--- a/src/main/java/sprucerock/rehearsal/RealController.java
+++ b/src/main/java/sprucerock/rehearsal/RealController.java
@@ -80,8 +80,9 @@
     private final List<Thread> threads = new ArrayList<>();
     private volatile List<Seen> seen = List.of();
     private volatile boolean over;
-    private Process process;
+    private volatile Process process;
     private int runs;
+    private volatile boolean down;
 
     /** Writes its configuration; {@code ports} for relays, webhooks and operators. */
     RealController(Path folder, Site site, int firstBuild, int places, int[] ports, String agents, String leases, String racks, Fleet fleet) throws IOException {
@@ -130,6 +131,7 @@
         process = new ProcessBuilder(List.of(java, "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xmx128m", "-cp", System.getProperty("java.class.path"),
             "sprucerock.Main", "controller", "--config", folder.resolve("controller.xml").toString())).redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start();
+        down = false; // from here on it is watched over
     }
 
     /** Until it answers for the first time; then the pipeline and the fleet's questions begin. */
@@ -161,6 +163,7 @@
     }
 
     void kill() {
+        down = true;
         process.destroyForcibly();
     }
 
@@ -254,6 +257,15 @@
         }
     }
 
+    /** One that lost its seat has ended: whoever watches over it starts it again, as a standby. */
+    private void again() {
+        try {
+            start();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
     private void ask() throws InterruptedException {
         Map<Integer, Integer> told = new TreeMap<>();
         int lastRun = runs;
@@ -263,6 +275,7 @@
                 seen = now;
                 fleet.wanted(now);
             }
+            if (!down && !process.isAlive() && !over) again();
             if (runs != lastRun) told.clear();
             lastRun = runs;
             Map<Integer, Integer> there;
--- a/src/main/java/sprucerock/relay/Racks.java
+++ b/src/main/java/sprucerock/relay/Racks.java
@@ -18,9 +18,9 @@
 
 /**
  * Until when this relay may place work on which rack, as the controller promised. It counts from before it asked, by its own clock,
- * shortened by what clocks may differ, and stops as long before as the longest RPC may run. Before the first promise it places on all
- * racks: it can't know which there are. Cut off from the controller it goes on by what it was promised, and stops rack by rack as that
- * runs out.
+ * shortened by what clocks may differ, and stops as long before as the longest RPC may run. Before the first promise it places nothing: it
+ * can't know which racks there are, and one may be frozen while it starts. Cut off from the controller it goes on by what it was promised,
+ * and stops rack by rack as that runs out.
  */
 final class Racks {
     /** What it needs of the relay. */
@@ -28,6 +28,9 @@
         /** False where nobody can be asked. */
         boolean ask(PromiseAsk ask);
 
+        /** It may place work from now on, where it was promised to. */
+        void firstPromise();
+
         /** Some rack is free that was not, or the other way round. */
         void racksChanged();
     }
@@ -45,6 +48,7 @@
     private long epoch;
     private Timer next;
     private Timer turns;
+    private boolean told;
     private boolean stopped;
 
     Racks(Net net, RelayConfig config, Events events, Chance chance, Owner owner) {
@@ -93,7 +97,11 @@
         for (RackFree rack : promised.getRacksList()) {
             until.put(Picture.key(rack.getZone(), rack.getCell()), from.plus(Span.ofMs(rack.getLeftMs() * shorter)));
         }
-        if (shared.put(new Picture(promised.getSequence(), until))) look();
+        if (!shared.put(new Picture(promised.getSequence(), until))) return;
+        boolean first = !told;
+        told = true;
+        look();
+        if (first) owner.firstPromise();
     }
 
     /** Now, and when the next rack has to be left. */
@@ -117,7 +125,12 @@
         return mayPlace(unit.zone, unit.cell, net.clock(), Span.ZERO);
     }
 
+    /** Racks are nothing to it, or it was promised something. */
+    boolean told() {
+        return told || config.racksEvery == null;
+    }
+
     private boolean mayPlace(int zone, int cell, Moment now, Span takes) {
-        return shared.take().mayPlace(Picture.key(zone, cell), now.ms(), takes.ms());
+        return told() && shared.take().mayPlace(Picture.key(zone, cell), now.ms(), takes.ms());
     }
 }
--- a/src/main/java/sprucerock/relay/Relay.java
+++ b/src/main/java/sprucerock/relay/Relay.java
@@ -173,7 +173,7 @@
 
     /** The first list has come, or the first news. */
     void learnt() {
-        if (roster.listed() && desk.told()) letClientsIn("with list and news");
+        if (roster.listed() && desk.told() && racks.told()) letClientsIn("with list and news");
     }
 
     private void moveUnits(Span within) {
@@ -438,6 +438,11 @@
         return desk.ask(ask);
     }
 
+    @Override
+    public void firstPromise() {
+        learnt();
+    }
+
     @Override
     public void racksChanged() {
         roster.racksChanged();
--- a/src/test/java/sprucerock/rehearsal/SharedDayTest.java
+++ b/src/test/java/sprucerock/rehearsal/SharedDayTest.java
@@ -8,7 +8,10 @@
 import java.nio.file.Path;
 import org.testng.annotations.Test;
 
-/** Relays, granters among them, and the controller on its lease as processes of their own; verdicts from what landed where, not from speed. */
+/**
+ * Relays, granters among them, and the controller on its lease as processes of their own; verdicts from what landed where, not from speed.
+ * A relay that starts while a rack is frozen holds no promise yet: it is to place nothing until it does.
+ */
 public class SharedDayTest {
     @Test
     public void nothingIsPlacedOnAFrozenRackAndOneLooksAtATimeThoughWaysAreCutAndProcessesKilled() throws Exception {
@@ -34,6 +37,7 @@
             at 3s ways of relays 2 to 3 cut for 8s
             at 4s relay 0 killed for 1s
             at 9s ways of leases 1 to 2 cut for 4s
+            at 15s relay 3 killed for 1s
             at 16s freeze z1r1 at once lasts 7s
             at 17s ways of leases 0 to 3 reset for 500ms
             """);
