A connection that just answered waits for silence before it goes to the next pick

Cause, read in UnitDoor and UnitLink and forced on real sockets: - UnitDoor.idle gave a connection to a waiting pick in the moment of its answer, and UnitDoor.send took any idle one where no more may be opened; the 10 ms of silence that guard against a second copy of an answer held in UnitDoor.ready alone. The second copy was then the other client's answer. The 10 ms were counted on the turn's clock, before what had come was read. - The second for readiness behind an answer (UnitLink.received) was bound to no answer: one that ran from an earlier answer ended the connection within a later one. - Idle connections were ended by a timer each 100 ms and not looked at when used; their time ran from the turn that read the answer, however long the loop had stood still. Ruled out as a guard: an empty query behind each answer; a copy that comes late may come behind its answer too.

Change: a connection is SETTLING between its answer and IDLE; what ends that state is bound to it. Waiting picks get connections that are fresh or settled. An idle connection's time runs from the turn before, and is checked by the clock read anew as the connection is used.

--- a/src/main/java/sprucerock/net/Timers.java
+++ b/src/main/java/sprucerock/net/Timers.java
@@ -13,6 +13,11 @@
         return now();
     }
 
+    /** What comes in this turn came after that moment: when the turn before this one began. Earlier by as long as the loop stood still. */
+    default Moment heardUpTo() {
+        return now();
+    }
+
     /** Runs {@code what} in the first turn at or after {@code when}; those of one moment in the order of the calls. */
     Timer at(Moment when, Runnable what);
 
--- a/src/main/java/sprucerock/net/nio/NioLoop.java
+++ b/src/main/java/sprucerock/net/nio/NioLoop.java
@@ -48,6 +48,7 @@
     private final long origin = System.nanoTime();
     private volatile boolean stopped;
     private Moment now = Moment.ofMs(0);
+    private Moment before = now;
 
     /** Starts a loop; what throws in it ends up with {@code broken}, and the loop goes on. */
     public NioLoop(String name, Consumer<Throwable> broken) throws IOException {
@@ -102,6 +103,7 @@
 
     private void run() {
         while (!stopped) {
+            before = now;
             now = clock();
             timers.run(now.ms(), this::guarded);
             // not more than a turn's worth: timers and writes must get their turn under any load
@@ -149,6 +151,11 @@
         return now;
     }
 
+    @Override
+    public Moment heardUpTo() {
+        return before;
+    }
+
     @Override
     public Timer at(Moment when, Runnable what) {
         return timers.add(when.ms(), what);
--- a/src/main/java/sprucerock/platform/UnitDoor.java
+++ b/src/main/java/sprucerock/platform/UnitDoor.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import sprucerock.model.Outcome;
 import sprucerock.model.Unit;
+import sprucerock.net.Timers.Timer;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
 
@@ -15,8 +16,6 @@
  * finds none waits for one, for as long as a connection may take. Which unit gets a pick is none of its business.
  */
 final class UnitDoor {
-    private static final Span QUIET = Span.ofMs(10); // what came behind an answer by then shows that the connection is spoilt
-
     final Unit unit;
     final InetSocketAddress address;
     private final UnitDoors doors;
@@ -44,14 +43,11 @@
         }
         boolean opens = starting() <= waiting.size();
         if (opens && !doors.mayOpen()) {
-            UnitLink any = idle.poll();
-            if (any != null) {
-                doors.used(any);
-                any.send(exchange);
-            } else {
+            opens = false;
+            if (links.stream().noneMatch(UnitLink::settling)) {
                 doors.endsSoon(exchange, Outcome.NOT_CONNECTED);
+                return;
             }
-            return;
         }
         waiting.add(exchange);
         exchange.waiting = doors.patiently(doors.connectWithin(), () -> {
@@ -70,13 +66,13 @@
         return count;
     }
 
-    /** The idle one used last that was quiet for a while since. */
+    /** The idle one used last; closes those that were to be closed by now, where a loop that stood still has not come to it. */
     private UnitLink ready() {
-        for (UnitLink link : idle) {
-            if (QUIET.over(now().since(link.idleSince))) continue;
-            idle.remove(link);
+        while (!idle.isEmpty()) {
+            UnitLink link = idle.poll();
             doors.used(link);
-            return link;
+            if (!doors.idleTooLong(link)) return link;
+            link.close();
         }
         return null;
     }
@@ -124,8 +120,16 @@
         doors.closed();
     }
 
-    void within(Span time, Runnable what) {
-        doors.patiently(time, what);
+    Timer within(Span time, Runnable what) {
+        return doors.patiently(time, what);
+    }
+
+    Moment heardUpTo() {
+        return doors.heardUpTo();
+    }
+
+    Span turnSoFar() {
+        return doors.clock().since(doors.now());
     }
 
     void spoilt(String why) {
--- a/src/main/java/sprucerock/platform/UnitDoors.java
+++ b/src/main/java/sprucerock/platform/UnitDoors.java
@@ -50,13 +50,18 @@
     void start() {
         for (Iterator<Map.Entry<UnitLink, UnitDoor>> each = idle.entrySet().iterator(); each.hasNext();) {
             Map.Entry<UnitLink, UnitDoor> next = each.next();
-            if (!net.now().since(next.getKey().idleSince).over(keepIdle)) break;
+            if (!idleTooLong(next.getKey())) break;
             each.remove();
             next.getValue().drop(next.getKey());
         }
         net.at(net.now().plus(LOOK), this::start);
     }
 
+    /** Its unit may be about to close it; by the clock read anew, as a turn may take long. */
+    boolean idleTooLong(UnitLink link) {
+        return net.clock().since(link.idleSince).over(keepIdle);
+    }
+
     int open() {
         return open;
     }
@@ -65,6 +70,14 @@
         return net.now();
     }
 
+    Moment clock() {
+        return net.clock();
+    }
+
+    Moment heardUpTo() {
+        return net.heardUpTo();
+    }
+
     Timer patiently(Span time, Runnable what) {
         return net.patiently(time, what);
     }
--- a/src/main/java/sprucerock/platform/UnitLink.java
+++ b/src/main/java/sprucerock/platform/UnitLink.java
@@ -4,6 +4,7 @@
 import sprucerock.model.Outcome;
 import sprucerock.net.Link;
 import sprucerock.net.LinkUser;
+import sprucerock.net.Timers.Timer;
 import sprucerock.pg.Messages;
 import sprucerock.pg.ProtocolException;
 import sprucerock.pg.Reader;
@@ -16,10 +17,12 @@
  * as broken, and a connection on which anything came that was not asked for is closed, as nobody can tell what follows.
  */
 final class UnitLink implements LinkUser, Messages.User {
-    private enum At { STARTING, IDLE, ASKED, COLUMN, ROW, SERVED, FAILED }
+    /** SETTLING: answered and ready again, but what came behind the answer by now may still be on its way. */
+    private enum At { STARTING, SETTLING, IDLE, ASKED, COLUMN, ROW, SERVED, FAILED }
 
     private static final int MESSAGE = 68 * 1024; // a value of 64 KiB, and what goes with it
-    private static final Span SETTLE = Span.ofMs(1000); // readiness comes right behind an answer
+    private static final Span READY = Span.ofMs(1000); // readiness comes right behind an answer
+    private static final Span QUIET = Span.ofMs(10); // what came behind an answer by then shows that the connection is spoilt
     private static final byte[] STARTUP = Writer.startup("svc", "main");
 
     private final UnitDoor door;
@@ -28,12 +31,15 @@
     private At at = At.STARTING;
     private boolean authenticated;
     private boolean closed;
-    private boolean becameIdle;
+    private boolean becameReady;
+    /** What is to be done unless it comes out of the state that it is in, or null. */
+    private Timer leaves;
     private Outcome startFailed = Outcome.NOT_CONNECTED;
     private PgExchange exchange;
     private long mark;
     private byte[] column;
     private byte[] row;
+    /** Its unit can't have been without work on it for longer than since then. */
     Moment idleSince;
 
     UnitLink(UnitDoor door) {
@@ -48,10 +54,12 @@
         return at == At.STARTING;
     }
 
-    boolean idle() {
-        return at == At.IDLE && !closed;
+    /** It answered, and is about to be idle. */
+    boolean settling() {
+        return at == At.SETTLING;
     }
 
+
     @Override
     public void up(Link made) {
         link = made;
@@ -78,21 +86,33 @@
         try {
             in.take(bytes, this);
             if (closed) return;
-            if (at == At.IDLE && in.partial()) throw new ProtocolException("something that was not asked for");
-            if (at == At.SERVED || at == At.FAILED) door.within(SETTLE, () -> {
-                if (at == At.SERVED || at == At.FAILED) cut("not ready again");
-            });
-            if (becameIdle) {
-                becameIdle = false;
-                idleSince = door.now();
-                door.idle(this);
-            }
+            if ((at == At.IDLE || at == At.SETTLING) && in.partial()) throw new ProtocolException("something that was not asked for");
+            if ((at == At.SERVED || at == At.FAILED) && leaves == null) leaves = door.within(READY, () -> cut("not ready again"));
+            if (becameReady) ready();
         } catch (ProtocolException e) {
             door.spoilt(e.getMessage());
             cut(e.getMessage());
         }
     }
 
+    /**
+     * Welcomed, or ready behind an answer. The latter is not used before its unit was silent for a while: guards against a second
+     * copy of the answer, which would be taken for that of the next statement. A loop that stood still has not heard that silence.
+     */
+    private void ready() {
+        becameReady = false;
+        idleSince = door.heardUpTo();
+        if (at == At.IDLE) {
+            door.idle(this);
+            return;
+        }
+        leaves = door.within(QUIET.plus(door.turnSoFar()), () -> {
+            leaves = null;
+            at = At.IDLE;
+            door.idle(this);
+        });
+    }
+
     @Override
     public void message(char type, byte[] body) throws ProtocolException {
         if (type == 'N' || type == 'S') return;
@@ -128,8 +148,10 @@
             case SERVED, FAILED -> {
                 expect(type, 'Z');
                 Reader.ready(body);
-                at = At.IDLE;
-                becameIdle = true;
+                if (leaves != null) leaves.cancel();
+                leaves = null;
+                at = At.SETTLING;
+                becameReady = true;
             }
             default -> throw new ProtocolException("something that was not asked for");
         }
@@ -149,7 +171,7 @@
         } else if (type == 'Z' && authenticated) {
             Reader.ready(body);
             at = At.IDLE;
-            becameIdle = true;
+            becameReady = true;
         } else if (type != 'K') {
             throw new ProtocolException("a message of type " + type + " in the welcome");
         }
@@ -197,6 +219,7 @@
     private void down(String why) {
         if (closed) return;
         closed = true;
+        if (leaves != null) leaves.cancel();
         PgExchange open = exchange;
         exchange = null;
         // the last byte of a query that has not left proves that it never ran; after that nobody knows
--- a/src/test/java/sprucerock/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/platform/CrossingsTest.java
@@ -129,6 +129,53 @@
 
     // Retries, and connections that go from one request to another.
 
+    /** Guards against a connection that goes to a waiting pick in the moment of its answer, of which a second copy is on its way. */
+    @Test
+    public void aSecondAnswerMeetsAConnectionForWhichAPickWaits() throws Exception {
+        starts(one.entry("s-1", "SERVING", 7));
+        Peers.Client first = client();
+        Peers.Client second = client();
+        first.asks(look());
+        Peers.Unit.Query asked = one.query();
+        one.holdsWelcomes = true;
+        one.accepted.clear();
+        second.asks(look());
+        Peers.Unit.Connection late = Peers.next(one.accepted, "a second connection");
+        CountDownLatch go = hold();
+        asked.on().says(Peers.value("mine"));
+        Peers.read(asked.on().socket); // read, and not acted on
+        asked.on().says(Peers.value("mine")); // once more, in the system's hands when the first is acted on
+        Peers.delivered(asked.on().socket);
+        go.countDown();
+        assertEquals(first.answer(), "value mine");
+        Peers.await(asked.on().closed, "the end of the spoilt connection");
+        late.welcome();
+        Peers.Unit.Query other = one.query();
+        assertTrue(other.on() == late);
+        other.on().says(Peers.value("other"));
+        assertEquals(second.answer(), "value other");
+    }
+
+    /** The other order: nothing came behind the answer, so the waiting pick gets that connection and need not wait for its own. */
+    @Test
+    public void aConnectionThatStayedSilentBehindItsAnswerGoesToTheWaitingPick() throws Exception {
+        starts(one.entry("s-1", "SERVING", 7));
+        Peers.Client first = client();
+        Peers.Client second = client();
+        first.asks(look());
+        Peers.Unit.Query asked = one.query();
+        one.holdsWelcomes = true;
+        one.accepted.clear();
+        second.asks(look());
+        Peers.next(one.accepted, "a second connection");
+        asked.on().says(Peers.value("mine"));
+        assertEquals(first.answer(), "value mine");
+        Peers.Unit.Query other = one.query();
+        assertTrue(other.on() == asked.on());
+        other.on().says(Peers.value("other"));
+        assertEquals(second.answer(), "value other");
+    }
+
     // Lists.
 
     /**
@@ -178,4 +225,23 @@
     }
 
     // Idle connections.
+
+    /** Guards against a statement on a connection that its unit is about to close, as the loop stood still when its time came. */
+    @Test
+    public void theIdleTimeOfAConnectionEndsWhileTheLoopStandsStill() throws Exception {
+        idle = 1500;
+        starts(one.entry("s-1", "SERVING", 7));
+        Peers.Client client = client();
+        Peers.Unit.Connection kept = kept(one);
+        TimeUnit.MILLISECONDS.sleep(50);
+        CountDownLatch go = hold();
+        client.asks(look());
+        Peers.read(client.socket);
+        TimeUnit.MILLISECONDS.sleep(1100); // past two thirds: no longer a wait can make this pass wrongly
+        go.countDown();
+        Peers.Unit.Query fresh = one.query();
+        assertFalse(fresh.on() == kept);
+        fresh.on().says(Peers.value("fresh"));
+        assertEquals(client.answer(), "value fresh");
+    }
 }
--- a/src/test/java/sprucerock/platform/PlatformTest.java
+++ b/src/test/java/sprucerock/platform/PlatformTest.java
@@ -588,6 +588,30 @@
         assertTrue(done[0]);
     }
 
+    /** Guards against the time for readiness behind one answer that ends the connection within the readiness of a later one. */
+    @Test
+    public void aLateReadinessOfOneAnswerIsNotHeldAgainstTheNext() {
+        Client client = new Client().started();
+        byte[][] all = value("x");
+        client.asks(look(5000));
+        FakeUnit unit = last();
+        unit.says(all[0], all[1], all[2]);
+        net.pass(900);
+        unit.says(all[3]);
+        net.pass(50);
+        client.asks(look(5000));
+        assertTrue(last() == unit);
+        unit.says(all[0], all[1], all[2]);
+        net.pass(60); // past a second since the first answer
+        unit.says(all[3]);
+        net.pass(50);
+        client.asks(look(5000));
+        assertTrue(last() == unit);
+        assertEquals(asked.size(), 3);
+        unit.says(all);
+        assertEquals(client.got.size(), 12);
+    }
+
     @Test
     public void listsMayComeIndentedAndInPieces() {
         String list = "{\n  \"version\": 5,\n  \"full\": false,\n  \"servers\": [\n    " + entry("s-1", 300, "DRAINING", 7).replace(",", ",\n      ") + "\n  ]\n}\n\n";
