A repeat under a token is not put on a connection that comes up after its window

Cause: Policy.mayRepeat looks at the window as it chooses; the pick then waits for a connection for as long as one may take (UnitDoor.waiting, relay.UnitLinks.waiting), and nobody looked again. Forced on real sockets: a unit whose welcome is held until the window is over got the repeat.

Change: the module notes with the pick until when it may be put on a connection (the window less a tick, for what may have run under a token); Exchange.mayStart is asked beside "has its RPC ended" wherever a waiting pick meets a connection, by the clock read anew. A pick that is too late ends as never sent.

Result: on the text before, CrossingsTest.aConnectionComesUpAfterTheWindow... finds the INSERT at the second unit; it passes now.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -238,6 +238,10 @@
             && rpc.picks.size() + 1 < settings.maxPicks && rpc.deadline.since(now).over(lost.times(1.5));
         Pick pick = new Pick(rpc, unit, now, cut ? lost : null);
         pick.copy = copy;
+        // rule 2: a repeat that waits for a connection must not come up after its window
+        Pick first = rpc.firstThatMayHaveRun();
+        boolean binds = first != null && rpc.method.effect == Method.Effect.TOKENED;
+        pick.startBy = binds ? first.sent.plus(rpc.method.window).minus(settings.tick) : null;
         host.send(pick);
         report(unit, null);
         host.wake(pick, now.plus(overdue), () -> overdue(pick));
--- a/src/main/java/sprucerock/model/Pick.java
+++ b/src/main/java/sprucerock/model/Pick.java
@@ -11,6 +11,8 @@
     public final Moment sent;
     /** When to give up on it; null: not before the client does. */
     public final Span patience;
+    /** Noted by the module: from then on it may not be put on a connection any more; null: it always may. */
+    public Moment startBy;
     private Outcome outcome;
     private Span took;
     private boolean written;
--- a/src/main/java/sprucerock/platform/UnitDoor.java
+++ b/src/main/java/sprucerock/platform/UnitDoor.java
@@ -82,8 +82,7 @@
         while (next == null && !waiting.isEmpty()) {
             next = waiting.poll();
             next.waiting.cancel();
-            // its RPC may have ended while it waited: nothing more is sent for that
-            if (next.pick().rpc.ended()) {
+            if (!next.mayStart(doors.clock())) {
                 doors.endsSoon(next, Outcome.MOOT);
                 next = null;
             }
--- a/src/main/java/sprucerock/relay/UnitLinks.java
+++ b/src/main/java/sprucerock/relay/UnitLinks.java
@@ -168,8 +168,7 @@
         while (!waiting.isEmpty() && !link.retired && link.greeted && link.load() < config.picksEach) {
             Exchange next = waiting.poll();
             next.waiting.cancel();
-            // its RPC may have ended while it waited: nothing more is sent for that
-            if (next.pick().rpc.ended()) owner.endsSoon(next, Outcome.MOOT);
+            if (!next.mayStart(owner.now())) owner.endsSoon(next, Outcome.MOOT);
             else link.send(next, owner.now());
         }
     }
--- a/src/main/java/sprucerock/serving/Exchange.java
+++ b/src/main/java/sprucerock/serving/Exchange.java
@@ -33,6 +33,11 @@
         return over;
     }
 
+    /** Whether it may be put on a connection: its RPC may have ended, or its own time may be over, while it waited for one. */
+    public final boolean mayStart(Moment now) {
+        return !pick.rpc.ended() && (pick.startBy == null || pick.startBy.after(now));
+    }
+
     final void endBy(Timer timer) {
         end = timer;
     }
--- a/src/test/java/sprucerock/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/platform/CrossingsTest.java
@@ -176,6 +176,29 @@
         assertEquals(second.answer(), "value other");
     }
 
+    /** Guards against a repeat under a token that was chosen within its window and leaves after it, as its connection came up late. */
+    @Test
+    public void aConnectionComesUpAfterTheWindowOfTheRepeatThatWaitsForIt() throws Exception {
+        watch = starts(one.entry("s-1", "SERVING", 7));
+        two.holdsWelcomes = true;
+        Peers.Client client = client();
+        client.asks(put());
+        Peers.Unit.Query asked = one.query();
+        discovery.calls.clear();
+        watch.list(5, false, two.entry("s-2", "SERVING", 7));
+        Peers.Client other = client();
+        one.asked.clear();
+        asked.on().socket.close(); // it may have run, so the repeat is bound to its window
+        Peers.Unit.Connection late = Peers.next(two.accepted, "the repeat's connection");
+        TimeUnit.MILLISECONDS.sleep(1500); // the window: no longer a wait can make this pass wrongly
+        watch.list(6, false, one.entry("s-1", "DRAINING", 7));
+        other.asks(look());
+        late.welcome();
+        Peers.Unit.Query next = two.query();
+        assertTrue(next.text().contains("c=look"), next.text());
+        assertTrue(client.answer().startsWith("error"));
+    }
+
     // Lists.
 
     /**
