What was placed on a unit in the turn that tells of its drain does not leave the relay

Cause: a turn first takes all that came and then writes. A statement appended to a connection (UnitLink.send) left at the turn's end although a list read in the same turn had its unit draining; where the loop had stood still that is long after the list was told. UnitDoor.leave took back only what waited for a connection. Besides, a unit that drained and is listed as serving again kept its pool with `left` set, so that each pick opened a connection and closed it.

Change: UnitDoor.leave cuts connections whose statement has not been handed to the system; these picks end as never connected and go elsewhere. A pool whose unit serves again is used again.

--- a/src/main/java/sprucerock/platform/Discovery.java
+++ b/src/main/java/sprucerock/platform/Discovery.java
@@ -209,6 +209,7 @@
             Math.max(0, kinds.indexOf(entry.path("kind").asText(""))), entry.path("cell").asInt(0), build, started, weight,
             state.equals("SERVING"));
         if (unit.door == null) unit.door = new UnitDoor(unit, address, doors);
+        else if (state.equals("SERVING")) ((UnitDoor) unit.door).back();
         if (state.equals("DRAINING")) leave(unit);
         return null;
     }
--- a/src/main/java/sprucerock/platform/UnitDoor.java
+++ b/src/main/java/sprucerock/platform/UnitDoor.java
@@ -155,7 +155,7 @@
         return true;
     }
 
-    /** The unit drains, is gone or became another: what is out ends as it may, the rest closes. */
+    /** The unit drains, is gone or became another: what is out ends as it may, what never left does not leave, the rest closes. */
     void leave() {
         if (left) return;
         left = true;
@@ -165,5 +165,12 @@
             doors.endsSoon(next, Outcome.NOT_CONNECTED);
         }
         for (UnitLink link : new ArrayList<>(idle)) drop(link);
+        // guards against what was placed in the turn in which this came: it would be written after the unit was told of as leaving
+        for (UnitLink link : new ArrayList<>(links)) if (link.unsent()) link.cut("its unit takes nothing new");
+    }
+
+    /** It is listed as serving once more. */
+    void back() {
+        left = false;
     }
 }
--- a/src/main/java/sprucerock/platform/UnitLink.java
+++ b/src/main/java/sprucerock/platform/UnitLink.java
@@ -59,6 +59,10 @@
         return at == At.SETTLING;
     }
 
+    /** What was last asked on it has not left this process. */
+    boolean unsent() {
+        return exchange != null && link.handed() < mark;
+    }
 
     @Override
     public void up(Link made) {
--- a/src/test/java/sprucerock/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/platform/CrossingsTest.java
@@ -201,6 +201,59 @@
 
     // Lists.
 
+    /** Guards against a statement that is written to a unit after the relay was told that it drains, as both came in one turn. */
+    @Test
+    public void aUnitDrainsInTheTurnInWhichItWasChosen() throws Exception {
+        watch = starts(one.entry("s-1", "SERVING", 7));
+        Peers.Unit.Connection kept = kept(one);
+        Peers.Client client = client();
+        TimeUnit.MILLISECONDS.sleep(50); // the connection is quiet for long enough to be used
+        CountDownLatch go = hold();
+        client.asks(look());
+        Peers.read(client.socket);
+        watch.list(5, false, one.entry("s-1", "DRAINING", 7), two.entry("s-2", "SERVING", 7));
+        Peers.read(watch.socket);
+        go.countDown();
+        two.query().on().says(Peers.value("elsewhere"));
+        assertEquals(client.answer(), "value elsewhere");
+        Peers.await(kept.closed, "the end of the draining unit's connection");
+        assertTrue(one.asked.isEmpty());
+    }
+
+    /** The other order: the list was there first. */
+    @Test
+    public void aUnitDrainsInTheTurnBeforeItWouldBeChosen() throws Exception {
+        watch = starts(one.entry("s-1", "SERVING", 7));
+        Peers.Unit.Connection kept = kept(one);
+        Peers.Client client = client();
+        CountDownLatch go = hold();
+        watch.list(5, false, one.entry("s-1", "DRAINING", 7), two.entry("s-2", "SERVING", 7));
+        Peers.read(watch.socket);
+        client.asks(look());
+        Peers.read(client.socket);
+        go.countDown();
+        two.query().on().says(Peers.value("elsewhere"));
+        assertEquals(client.answer(), "value elsewhere");
+        assertTrue(one.asked.isEmpty());
+    }
+
+    /** Guards against a unit that is called back and from then on gets a connection for each pick. */
+    @Test
+    public void aUnitThatDrainedServesAgainOverConnectionsThatAreKept() throws Exception {
+        watch = starts(one.entry("s-1", "SERVING", 7));
+        watch.list(5, false, one.entry("s-1", "DRAINING", 7));
+        watch.list(6, false, one.entry("s-1", "SERVING", 7));
+        Peers.read(watch.socket);
+        Peers.Unit.Connection kept = kept(one);
+        TimeUnit.MILLISECONDS.sleep(50);
+        Peers.Client client = client();
+        client.asks(look());
+        Peers.Unit.Query again = one.query();
+        assertTrue(again.on() == kept);
+        again.on().says(Peers.value("again"));
+        assertEquals(client.answer(), "value again");
+    }
+
     /**
      * Guards against a watch that is given up as it is silent, while it is the first to tell once discovery is back: until its
      * successor tells, it is heard; and against what it says behind that, which would bring back what the successor took away.
