The end waits until answers are read; a close gives way to a request that was read

A loop that had stood still reset those in the listener's queue unheard. - Connections for want of a place were closed without a word, which their clients can't tell from a fault, and without a line in the log. With limits.sockets of 64 to 74 no connection to a unit was left at all, and the relay started.

Change: ClientLink's flags are one state; PARTING is a close that a request takes back (Link.finishUnlessRead: the socket is closed at the end of a turn behind which no completion waits). From 250 ms before the kill what comes is refused with 57P03. The process ends when no client's connection is left, or as the kill is due. Listeners close likewise once what had come is taken. Who finds no place is refused with 53300; the least limits.sockets is 80, of which ten are for units. A slow reader is cut when it takes nothing for 2 s, no longer 2 s after the last answer. Serving.finish is shutdown.

Left: what the channels' own thread reads in the very moment of a close is still lost; NIO.2 can't take a read back.

--- a/src/main/java/sprucerock/cli/ServeCommand.java
+++ b/src/main/java/sprucerock/cli/ServeCommand.java
@@ -55,7 +55,7 @@
             settings.setDaemon(true);
             settings.start();
             Signal.handle(new Signal("HUP"), signal -> asks.release());
-            Signal.handle(new Signal("TERM"), signal -> loop.post(() -> serving.get().finish(ended::countDown)));
+            Signal.handle(new Signal("TERM"), signal -> loop.post(() -> serving.get().shutdown(ended::countDown)));
             ended.await();
             if (wrong.get() == null) return Commands.DONE;
             System.err.println(wrong.get());
--- a/src/main/java/sprucerock/net/Link.java
+++ b/src/main/java/sprucerock/net/Link.java
@@ -22,6 +22,14 @@
     /** Closes once all that was written has gone out, or its limit of time is over. */
     void finish();
 
+    /**
+     * The same for a connection on which nothing is being asked: what is read before it is closed is told to the user as ever and
+     * takes the closing back. Guards against a close that crosses a request: what was read can't be asked for elsewhere.
+     */
+    default void finishUnlessRead() {
+        finish();
+    }
+
     /** Closes at once; the user is told, in a later turn, for this reason. */
     void cut(String why);
 }
--- a/src/main/java/sprucerock/net/Net.java
+++ b/src/main/java/sprucerock/net/Net.java
@@ -42,7 +42,10 @@
         /** Takes connections from now on; those that came before have waited in the system's queue. */
         void take();
 
-        /** Takes no more connections; those that are open stay. */
+        /** Is run for each connection that was closed as it came, since too many were open. */
+        default void turnedAway(Runnable what) {}
+
+        /** Takes no more connections once those that had come by now are taken; those that are open stay. */
         void close();
     }
 }
--- a/src/main/java/sprucerock/net/ScriptedNet.java
+++ b/src/main/java/sprucerock/net/ScriptedNet.java
@@ -26,6 +26,8 @@
     private double nowMs;
     private long made;
     private boolean connectsHang;
+    private boolean nobodyReads;
+    private final ArrayDeque<Runnable> unread = new ArrayDeque<>();
     private int connects;
 
     public ScriptedNet(double startMs, double stepMs) {
@@ -38,6 +40,12 @@
         connectsHang = all;
     }
 
+    /** Whether what is written stays unsent, as where nobody reads. */
+    public void nobodyReads(boolean all) {
+        nobodyReads = all;
+        while (!all && !unread.isEmpty()) turn(unread.poll());
+    }
+
     /** How many connections were begun. */
     public int connects() {
         return connects;
@@ -210,6 +218,10 @@
         private void flush() {
             marked = false;
             if (closed) return;
+            if (nobodyReads) {
+                unread.add(this::flush);
+                return;
+            }
             out.reset();
             while (!claimed.isEmpty()) out.writeBytes(claimed.poll().array());
             handed = written;
--- a/src/main/java/sprucerock/net/nio/NioLink.java
+++ b/src/main/java/sprucerock/net/nio/NioLink.java
@@ -17,7 +17,8 @@
 final class NioLink implements Link {
     private static final int READ = 16 * 1024;
     private static final int GATHERED = 16;
-    private static final Span FINISH = Span.ofMs(2000); // a peer that reads needs far less; others are cut
+    private static final Span FINISH = Span.ofMs(2000); // a peer that reads takes some bytes in far less; others are cut
+    private static final int FINISHES = 5; // times that long for one that takes a few bytes now and then
 
     private final NioLoop loop;
     private final AsynchronousSocketChannel channel;
@@ -36,6 +37,8 @@
     private boolean marked;
     private boolean reading;
     private boolean finishing;
+    private boolean unlessRead;
+    private Timer finishBy;
     private boolean closed;
     private Runnable onceClosed = () -> {};
     private Timer connecting;
@@ -98,6 +101,7 @@
                 cut("closed by the other side");
                 return;
             }
+            if (unlessRead) stay();
             in.flip();
             user.received(in);
             in.clear();
@@ -164,7 +168,8 @@
         marked = false;
         if (writing || closed || !up) return;
         if (unsent.isEmpty() && out.isEmpty()) {
-            if (finishing) cut("done");
+            if (finishing && unlessRead) loop.whenQuiet(this::closeUnread);
+            else if (finishing) cut("done");
             return;
         }
         tail = null;
@@ -234,15 +239,41 @@
     public void finish() {
         if (closed || finishing) return;
         finishing = true;
-        loop.at(loop.now().plus(FINISH), () -> cut("not read to the end"));
+        finishBy(gone, FINISHES);
         mark();
     }
 
+    private void finishBy(long goneBefore, int times) {
+        finishBy = loop.at(loop.now().plus(FINISH), () -> {
+            if (gone == goneBefore || times == 1) cut("not read to the end");
+            else finishBy(gone, times - 1);
+        });
+    }
+
+    @Override
+    public void finishUnlessRead() {
+        if (closed || finishing) return;
+        unlessRead = true;
+        finish();
+    }
+
+    private void stay() {
+        unlessRead = false;
+        finishing = false;
+        finishBy.cancel();
+    }
+
+    /** All that was read has been told by now, but for what the channels' thread reads in this very moment. */
+    private void closeUnread() {
+        if (finishing && unlessRead && unsent.isEmpty() && out.isEmpty()) cut("done");
+    }
+
     @Override
     public void cut(String why) {
         if (closed) return;
         closed = true;
         if (connecting != null) connecting.cancel();
+        if (finishBy != null) finishBy.cancel();
         try {
             if (channel != null) channel.close();
         } catch (IOException e) {
--- a/src/main/java/sprucerock/net/nio/NioLoop.java
+++ b/src/main/java/sprucerock/net/nio/NioLoop.java
@@ -35,12 +35,15 @@
 public final class NioLoop implements Net, AutoCloseable {
     private static final int CHUNK = 16 * 1024;
     private static final int KEPT_CHUNKS = 1024;
+    private static final Span QUIET_WITHIN = Span.ofMs(100); // a loop that is never idle closes what is to be closed all the same
 
     private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final AtomicBoolean sleeping = new AtomicBoolean();
     private final Wheel timers = new Wheel();
     private final ArrayDeque<Runnable> putOff = new ArrayDeque<>();
     private final List<NioLink> dirty = new ArrayList<>();
+    private final List<Runnable> whenQuiet = new ArrayList<>();
+    private Moment quietBy;
     private final ArrayDeque<ByteBuffer> chunks = new ArrayDeque<>();
     private final AsynchronousChannelGroup group;
     private final Thread thread;
@@ -115,10 +118,23 @@
             while (!putOff.isEmpty()) guarded(putOff.poll());
             for (int i = 0; i < dirty.size(); i++) guarded(dirty.get(i)::flush);
             dirty.clear();
+            if (!whenQuiet.isEmpty() && (tasks.isEmpty() || now.after(quietBy))) quiet();
             if (tasks.isEmpty()) sleep();
         }
     }
 
+    private void quiet() {
+        List<Runnable> due = new ArrayList<>(whenQuiet);
+        whenQuiet.clear();
+        due.forEach(this::guarded);
+    }
+
+    /** Runs it at the end of a turn behind which no completion waits; at the latest some turns after {@link #QUIET_WITHIN}. */
+    void whenQuiet(Runnable what) {
+        if (whenQuiet.isEmpty()) quietBy = now.plus(QUIET_WITHIN);
+        whenQuiet.add(what);
+    }
+
     private void sleep() {
         double ms = timers.next() - clock().ms();
         if (ms <= 0) return;
@@ -223,6 +239,7 @@
         private final long mostUnsent;
         private final Supplier<LinkUser> users;
         private int open;
+        private Runnable turnedAway = () -> { };
 
         Door(AsynchronousServerSocketChannel server, int most, long mostUnsent, Supplier<LinkUser> users) {
             this.server = server;
@@ -240,6 +257,7 @@
                 } catch (IOException e) {
                     broken.accept(e);
                 }
+                turnedAway.run();
                 return;
             }
             open++;
@@ -271,13 +289,21 @@
             }
         }
 
+        @Override
+        public void turnedAway(Runnable what) {
+            turnedAway = what;
+        }
+
+        /** Not before those are taken that had come: guards against a loop that stood still, and would reset them unheard. */
         @Override
         public void close() {
-            try {
-                server.close();
-            } catch (IOException e) {
-                broken.accept(e);
-            }
+            whenQuiet(() -> {
+                try {
+                    server.close();
+                } catch (IOException e) {
+                    broken.accept(e);
+                }
+            });
         }
     }
 
--- a/src/main/java/sprucerock/platform/ClientDoor.java
+++ b/src/main/java/sprucerock/platform/ClientDoor.java
@@ -38,6 +38,8 @@
     private final Set<ClientLink> links = new LinkedHashSet<>();
     private final Map<String, ClientAsked> open = new HashMap<>();
     private Net.Listener listener;
+    private boolean leaving;
+    private boolean refusing;
 
     /** {@code enough}: beyond it quiet ones give way, so that clients with a bound of their own can come; {@code most} is never passed. */
     ClientDoor(Net net, Events events, Owner owner, Map<String, Method> methods, int enough, int most) {
@@ -51,10 +53,11 @@
 
     void start(InetSocketAddress at) throws IOException {
         listener = net.bind(at, most + SPARE, UNSENT, () -> {
-            ClientLink link = new ClientLink(this, net.now());
+            ClientLink link = new ClientLink(this, net.now(), leaving);
             links.add(link);
             return link;
         });
+        listener.turnedAway(() -> events.warn(Events.Kind.TURNED_AWAY, "a client as it came: " + (most + SPARE) + " connections are open"));
         look();
     }
 
@@ -78,8 +81,8 @@
      */
     private void makeRoom(ClientLink newest) {
         ClientLink goes = quietest(newest);
-        if (goes != null) goes.close("too many connections");
-        else if (links.size() > most && newest.quietFor(Span.ZERO)) newest.close("too many connections");
+        if (goes != null) goes.giveWay();
+        else if (links.size() > most && newest.quietFor(Span.ZERO)) newest.giveWay();
     }
 
     private ClientLink quietest(ClientLink but) {
@@ -95,7 +98,7 @@
         for (ClientLink link : new ArrayList<>(links)) link.look(PATIENCE);
         // not only as one comes: clients that have reached a bound of their own send none
         int over = links.size() - enough;
-        for (ClientLink quiet = quietest(null); over > 0 && quiet != null; quiet = quietest(null), over--) quiet.close("too many connections");
+        for (ClientLink quiet = quietest(null); over > 0 && quiet != null; quiet = quietest(null), over--) quiet.giveWay();
         net.at(net.now().plus(LOOK), this::look);
     }
 
@@ -139,19 +142,30 @@
 
     /**
      * New connections are taken for {@code still}. Those that are open serve on, as others may not be able to take all at
-     * once, and close one after another until {@code last}, each between two commands.
+     * once, and close one after another until {@code last}, each between two commands; who comes later is served once.
      */
-    void finish(Span still, Span last) {
+    void shutdown(Span still, Span last) {
         List<ClientLink> all = new ArrayList<>(links);
         for (int i = 0; i < all.size(); i++) {
             net.at(net.now().plus(still.plus(last.minus(still).times((double) i / all.size()))), all.get(i)::leaveSoon);
         }
         net.at(net.now().plus(still), listener::close);
         net.at(net.now().plus(last), () -> {
+            leaving = true;
             for (ClientLink link : new ArrayList<>(links)) link.leaveSoon();
         });
     }
 
+    /** From now on what comes is refused, and what has nothing open closes. */
+    void refuse() {
+        refusing = true;
+        for (ClientLink link : new ArrayList<>(links)) link.leaveNow();
+    }
+
+    boolean refuses() {
+        return refusing;
+    }
+
     /** The relay's time is over: what is open gets an answer that promises nothing. */
     List<ClientAsked> open() {
         return new ArrayList<>(open.values());
--- a/src/main/java/sprucerock/platform/ClientLink.java
+++ b/src/main/java/sprucerock/platform/ClientLink.java
@@ -22,6 +22,9 @@
 
     private record Command(char type, byte[] body) {}
 
+    /** PARTING: it closes between two commands, unless one was read before it is closed. ENDING: nothing more is taken. */
+    private enum At { OPEN, PARTING, ENDING, CLOSED }
+
     private final ClientDoor door;
     private final Messages in = Messages.ofClient(MESSAGE);
     private final ArrayDeque<Command> waiting = new ArrayDeque<>();
@@ -30,15 +33,17 @@
     private Link link;
     private boolean started;
     private boolean asked;
-    private boolean ending;
-    private boolean closed;
+    private At at = At.OPEN;
+    /** It is to close between two commands. */
     private boolean leaves;
     private ClientAsked open;
     private Moment partialSince;
     private Moment quietSince;
 
-    ClientLink(ClientDoor door, Moment now) {
+    /** {@code leaves}: it came as the relay was about to end, and is served once. */
+    ClientLink(ClientDoor door, Moment now, boolean leaves) {
         this.door = door;
+        this.leaves = leaves;
         cameAt = now;
         quietSince = now;
     }
@@ -51,17 +56,19 @@
 
     @Override
     public boolean open() {
-        return !ending && !closed;
+        return at == At.OPEN;
     }
 
     @Override
     public void received(ByteBuffer bytes) {
+        if (at == At.PARTING) at = At.OPEN; // it crossed the close, which is taken back
         if (!open()) return;
         try {
             in.take(bytes, this);
             if (!in.partial()) partialSince = null;
             else if (partialSince == null) partialSince = door.now();
             pump();
+            if (leaves) leaveSoon();
         } catch (ProtocolException e) {
             end("08P01", e.getMessage());
         }
@@ -108,6 +115,10 @@
             answered(Writer.empty());
             return;
         }
+        if (door.refuses()) {
+            answered(Writer.error("ERROR", "57P03", "the relay is ending; trying again is harmless", null));
+            return;
+        }
         String wrong;
         try {
             Statement statement = door.read(text);
@@ -134,7 +145,7 @@
         for (byte[] message : messages) link.append(message);
         link.append(Writer.ready());
         quietSince = door.now();
-        if (leaves && waiting.isEmpty()) end(null, "the relay is finishing");
+        if (leaves) leaveSoon();
     }
 
     /** The one final answer; none goes to a client that left. */
@@ -163,17 +174,23 @@
 
     /** Says why, unless {@code code} is null, and closes; an RPC that is open has that as its answer. */
     private void end(String code, String why) {
-        if (!open()) return;
+        if (at != At.OPEN) return;
         if (code != null) {
             door.refused(why);
             link.append(Writer.error("FATAL", code, why, null));
         }
-        ending = true;
+        at = At.ENDING;
         waiting.clear();
         leave();
         link.finish();
     }
 
+    /** Closes between two commands. What the client sent and was not read it asks elsewhere; what was read is served first. */
+    private void part() {
+        at = At.PARTING;
+        link.finishUnlessRead();
+    }
+
     private void leave() {
         if (open == null) return;
         ClientAsked gone = open;
@@ -183,7 +200,7 @@
 
     @Override
     public void closed(String why) {
-        closed = true;
+        at = At.CLOSED;
         waiting.clear();
         leave();
         door.gone(this);
@@ -205,12 +222,20 @@
     /** Closes as soon as nothing is asked on it. */
     void leaveSoon() {
         leaves = true;
-        if (quietFor(Span.ZERO)) end(null, "the relay is finishing");
+        if (asked && quietFor(Span.ZERO)) part();
+    }
+
+    /** The relay's time is over: what was asked has its answer by now, what comes is refused, and half a command is no request. */
+    void leaveNow() {
+        leaves = true;
+        if (open() && open == null && waiting.isEmpty()) part();
     }
 
-    /** Closes between commands; a client whose command crosses that asks again elsewhere. */
-    void close(String why) {
-        end(null, why);
+    /** It gives way to others: between two commands in good order, one that never asked is told. */
+    void giveWay() {
+        door.refused("too many connections");
+        if (asked) part();
+        else end("53300", "too many connections");
     }
 
     /** Ends it if it says nothing, or stays within a message, for too long. */
--- a/src/main/java/sprucerock/platform/PlatformConfig.java
+++ b/src/main/java/sprucerock/platform/PlatformConfig.java
@@ -19,6 +19,7 @@
 
 /** What the platform tells a relay at its start, in the file that LB_CONFIG names. */
 public final class PlatformConfig {
+    private static final int LEAST_SOCKETS = 80; // ten for units, beside what clients and the relay itself have (Serving)
     private static final int MOST = 8 * 1024 * 1024; // thousands of units and relays are some hundred KiB
 
     final String name;
@@ -48,7 +49,7 @@
         desk = address(file, text(file, root.path("release_api"), "address", null), "release_api.address");
         seed = seed(file, text(file, root, "seed", "1"));
         sockets = root.path("limits").path("sockets").asInt(1024);
-        if (sockets < 64) throw new ConfigException(file + ": limits.sockets is " + sockets + "; at least 64 are needed");
+        if (sockets < LEAST_SOCKETS) throw new ConfigException(file + ": limits.sockets is " + sockets + "; at least " + LEAST_SOCKETS + " are needed");
         String peerAt = text(file, root, "peer_listen", "");
         peerListen = peerAt.isEmpty() ? null : address(file, peerAt, "peer_listen");
         for (JsonNode peer : root.path("peers")) peers.add(address(file, peer.asText(), "peers"));
--- a/src/main/java/sprucerock/platform/Serving.java
+++ b/src/main/java/sprucerock/platform/Serving.java
@@ -30,9 +30,9 @@
     private static final double CLIENTS = 3.0 / 8; // usual ones hold a third at most; the rest is for the units
     private static final double ENOUGH = 1.0 / 4; // some three in four of that third: quiet ones give way before clients run out
     private static final Span WAIT_FOR_LIST = Span.ofMs(1000); // the agent answers at once
-    private static final Span STILL = Span.ofMs(600); // after it is told to end, new connections come for 400 ms at most
+    static final Span STILL = Span.ofMs(600); // after it is told to end, new connections come for 400 ms at most
     // the kill comes no sooner than the longest deadline, counted as 3 s at most, and 0.7 s more
-    private static final Span LONGEST = Span.ofMs(3000);
+    static final Span LONGEST = Span.ofMs(3000);
     private static final Span GRACE = Span.ofMs(700);
     private static final double LAST = 0.6; // of that time clients are served: what is open then has ended long before
     private static final Span MARGIN = Span.ofMs(250); // before the kill; a loop under load is some 50 ms late
@@ -154,31 +154,37 @@
         events.error(Events.Kind.SETTINGS, why + "; what was read before holds");
     }
 
-    /** Each open RPC gets its answer, clients that still come too; then {@code done} runs. */
-    public void finish(Runnable done) {
+    /**
+     * Each open RPC gets its answer, clients that still come too; then {@code done} runs, once all clients have read theirs, or
+     * as the time to the kill is over.
+     */
+    public void shutdown(Runnable done) {
         if (finishing) return;
         finishing = true;
         events.info(Events.Kind.FINISHING, ledger.open() + " RPCs are open");
         if (!taking) clients.take();
+        Moment now = net.now();
         Span time = config.longest.atMost(LONGEST).plus(GRACE);
         Span last = time.times(LAST).atLeast(STILL);
-        clients.finish(STILL, last);
-        net.at(net.now().plus(time.minus(MARGIN)), () -> {
+        clients.shutdown(STILL, last);
+        net.at(now.plus(time.minus(MARGIN).atLeast(last)), () -> {
+            clients.refuse();
             for (ClientAsked asked : clients.open()) abort(asked);
         });
-        net.at(net.now().plus(last), () -> lookWhetherDone(done));
+        net.at(now.plus(last), () -> endIfDone(now.plus(time), done));
     }
 
-    private void lookWhetherDone(Runnable done) {
-        if (ledger.open() > 0) {
-            net.at(net.now().plus(Span.ofMs(5)), () -> lookWhetherDone(done));
+    private void endIfDone(Moment by, Runnable done) {
+        boolean all = ledger.open() == 0 && clients.size() == 0;
+        if (!all && by.after(net.now())) {
+            net.at(net.now().plus(Span.ofMs(5)), () -> endIfDone(by, done));
             return;
         }
         discovery.stop();
         desk.stop();
         if (datagrams != null) datagrams.close();
-        events.info(Events.Kind.FINISHED, "every RPC taken has its answer");
-        net.at(net.now().plus(Span.ofMs(100)), done); // the last answers go out in this turn
+        events.info(Events.Kind.FINISHED, all ? "every RPC taken has its answer" : clients.size() + " clients have not read their answers in time");
+        done.run();
     }
 
     // Clients.
--- a/src/main/java/sprucerock/platform/WarmUp.java
+++ b/src/main/java/sprucerock/platform/WarmUp.java
@@ -88,7 +88,7 @@
             for (Client client : clients) if (client.link != null && !client.waits) client.ask();
             net.pass(5);
         }
-        net.turn(() -> serving.finish(() -> { }));
+        net.turn(() -> serving.shutdown(() -> { }));
         return answered;
     }
 
--- a/src/test/java/sprucerock/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/platform/CrossingsTest.java
@@ -6,6 +6,8 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
@@ -17,7 +19,12 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import sprucerock.Policy;
+import sprucerock.model.Method;
 import sprucerock.net.nio.NioLoop;
+import sprucerock.pg.Writer;
+import sprucerock.serving.Ending;
+import sprucerock.serving.Events;
+import sprucerock.time.Span;
 
 /**
  * Two events that cross, forced on real sockets: a relay's loop is held while both happen, or a peer holds the second back until
@@ -320,4 +327,129 @@
         fresh.on().says(Peers.value("fresh"));
         assertEquals(client.answer(), "value fresh");
     }
+
+    // Shutdown, and closes by the relay.
+
+    /**
+     * The relay shuts down, and stands still as its clients' connections begin to close: what comes meanwhile is met behind that.
+     * The process would end with {@code ended}: what has not left it by then never does.
+     */
+    private CountDownLatch shutsDownAndStandsStill(CountDownLatch ended) throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        loop.post(() -> {
+            loop.at(loop.now().plus(Serving.STILL), () -> {
+                held.countDown();
+                try {
+                    go.await();
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            serving.shutdown(() -> {
+                loop.close();
+                ended.countDown();
+            });
+        });
+        Peers.await(held, "the moment at which connections begin to close");
+        return go;
+    }
+
+    /** Guards against a request that was read, and is dropped as its connection is being closed between two requests. */
+    @Test
+    public void aRequestIsReadAsItsIdleConnectionBeginsToClose() throws Exception {
+        starts(one.entry("s-1", "SERVING", 7));
+        Peers.Client client = client();
+        client.asks("");
+        assertEquals(client.answer(), "");
+        CountDownLatch ended = new CountDownLatch(1);
+        CountDownLatch go = shutsDownAndStandsStill(ended);
+        client.asks(look());
+        Peers.read(client.socket);
+        go.countDown();
+        one.query().on().says(Peers.value("served"));
+        assertEquals(client.answer(), "value served");
+        assertEquals(client.answer(), "closed");
+        Peers.await(ended, "the end");
+    }
+
+    /** The other order: the connection was closed, and what comes then was never read, so that it may be asked elsewhere. */
+    @Test
+    public void aConnectionIsClosedBeforeTheRequestComes() throws Exception {
+        starts(one.entry("s-1", "SERVING", 7));
+        Peers.Client client = client();
+        client.asks("");
+        assertEquals(client.answer(), "");
+        CountDownLatch ended = new CountDownLatch(1);
+        shutsDownAndStandsStill(ended).countDown();
+        assertEquals(client.answer(), "closed");
+        Peers.await(ended, "the end");
+        assertTrue(one.asked.isEmpty());
+    }
+
+    /** Guards against a connection that came as the door closed, and stays when all others have left: it is served once. */
+    @Test
+    public void aClientComesAsTheDoorCloses() throws Exception {
+        port = Peers.freePort();
+        loop = new NioLoop("relay", broken::add);
+        Method look = new Method(0, Method.Effect.IDEMPOTENT, Method.Group.ALL, Span.ofMs(300), Span.ZERO, 1, false);
+        CountDownLatch listens = new CountDownLatch(1);
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        ClientDoor[] door = new ClientDoor[1];
+        ClientDoor.Owner answers = new ClientDoor.Owner() {
+            @Override
+            public void arrived(ClientAsked asked) {
+                asked.client.answer(asked, Ending.OK, Span.ZERO, Writer.empty());
+            }
+
+            @Override
+            public void left(ClientAsked asked) {}
+        };
+        loop.post(() -> {
+            door[0] = new ClientDoor(loop, new Events(loop), answers, Map.of("look", look), 10, 10);
+            try {
+                door[0].start(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            door[0].take();
+            listens.countDown();
+        });
+        Peers.await(listens, "the door");
+        loop.post(() -> {
+            loop.at(loop.now(), () -> { // in front of the door's own timers, and of what comes
+                held.countDown();
+                try {
+                    go.await();
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            door[0].shutdown(Span.ZERO, Span.ZERO);
+        });
+        Peers.await(held, "the loop");
+        Peers.Client client = peers.new Client(port);
+        client.asks(look());
+        Peers.accepted(client.socket);
+        go.countDown();
+        client.welcomed();
+        assertEquals(client.answer(), "");
+        assertEquals(client.answer(), "closed");
+    }
+
+    // Floods.
+
+    /** Guards against a connection that is closed without a word for want of a place, which its client can't tell from a fault. */
+    @Test
+    public void whoComesWhereAllPlacesAreTakenIsRefusedByTheProtocol() throws Exception {
+        sockets = 160;
+        int places = 60;
+        starts(one.entry("s-1", "SERVING", 7));
+        for (int i = 0; i < places; i++) client().asks(look());
+        for (int i = 0; i < places; i++) one.query(); // all of them at work
+        Peers.Client more = peers.new Client(port);
+        String told = more.answer();
+        assertEquals(told.isEmpty() ? more.answer() : told, "error 53300, closed"); // it may be welcomed before
+    }
 }
--- a/src/test/java/sprucerock/platform/PlatformTest.java
+++ b/src/test/java/sprucerock/platform/PlatformTest.java
@@ -28,6 +28,7 @@
 import sprucerock.pg.ProtocolException;
 import sprucerock.pg.Reader;
 import sprucerock.pg.Writer;
+import sprucerock.time.Span;
 
 /** A relay on the platform, with the module that decides, among clients, units, discovery and a desk of a few lines each. */
 public class PlatformTest {
@@ -567,7 +568,7 @@
         Client client = new Client().started();
         client.asks("");
         boolean[] done = {false};
-        net.turn(() -> serving.finish(() -> done[0] = true)); // the kill comes after 3,700 ms at the earliest
+        net.turn(() -> serving.shutdown(() -> done[0] = true)); // the kill comes after 3,700 ms at the earliest
         net.pass(300);
         Client late = new Client().started();
         late.asks(look(3000));
@@ -588,6 +589,21 @@
         assertTrue(done[0]);
     }
 
+    /** Guards against a request behind another that goes out just before the kill, for which no answer can come in time. */
+    @Test
+    public void whatWaitsBehindARequestAsTimeIsOverIsRefused() {
+        Client client = new Client().started();
+        client.sends(Writer.query(pay(3000).getBytes(StandardCharsets.US_ASCII)), Writer.query(pay(3000).getBytes(StandardCharsets.US_ASCII)));
+        boolean[] done = {false};
+        net.turn(() -> serving.shutdown(() -> done[0] = true));
+        net.turn(() -> net.at(net.now().plus(Span.ofMs(1000)), () -> client.link.append(Writer.query(pay(3000).getBytes(StandardCharsets.US_ASCII)))));
+        net.pass(3500);
+        assertEquals(asked.size(), 2); // the first had its deadline before
+        assertEquals(client.got, List.of("error 58000", "Z", "error 58000", "Z", "error 57P03", "Z"));
+        assertTrue(client.closed);
+        assertTrue(done[0]);
+    }
+
     /** Guards against the time for readiness behind one answer that ends the connection within the readiness of a later one. */
     @Test
     public void aLateReadinessOfOneAnswerIsNotHeldAgainstTheNext() {
@@ -612,6 +628,37 @@
         assertEquals(client.got.size(), 12);
     }
 
+    /** Guards against an end of the process with answers that slow readers have not taken. */
+    @Test
+    public void theEndWaitsForThoseWhoHaveNotReadTheirAnswersButNotPastTheKill() {
+        for (boolean reads : new boolean[] {true, false}) {
+            Client client = new Client().started();
+            client.asks(look(900));
+            net.nobodyReads(true);
+            FakeUnit unit = last();
+            net.nobodyReads(false);
+            unit.says(value("slow"));
+            boolean[] done = {false};
+            net.turn(() -> serving.shutdown(() -> done[0] = true));
+            net.nobodyReads(true);
+            net.pass(3600);
+            assertFalse(done[0]);
+            net.nobodyReads(!reads);
+            net.pass(reads ? 20 : 200);
+            assertTrue(done[0]);
+            net.nobodyReads(false);
+            if (reads) restart();
+        }
+    }
+
+    private void restart() {
+        try {
+            start();
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
     @Test
     public void listsMayComeIndentedAndInPieces() {
         String list = "{\n  \"version\": 5,\n  \"full\": false,\n  \"servers\": [\n    " + entry("s-1", 300, "DRAINING", 7).replace(",", ",\n      ") + "\n  ]\n}\n\n";
