--- a/src/main/java/sprucerock/platform/Statement.java
+++ b/src/main/java/sprucerock/platform/Statement.java
@@ -24,8 +24,9 @@
     private static final int VALUE = 64 * 1024;
     private static final Pattern FORM = Pattern.compile("(?:SELECT v FROM records WHERE k = '([0-9A-Za-z]{1,64}+)'"
         + "|INSERT INTO records \\(k, v\\) VALUES \\('([0-9A-Za-z]{1,64}+)', '\\\\x([0-9a-fA-F]*+)'\\) RETURNING v)"
-        + " /\\* ([0-9A-Za-z=,._-]{1,400}+) \\*/");
+        + " /\\* ([^*]{1,400}+)(?<= )\\*/");
     private static final Pattern FIELD = Pattern.compile("([a-z]{1,16})=([0-9A-Za-z._-]{1,64})");
+    private static final Pattern CLASS = Pattern.compile("(c)=(.{1,256})"); // "named as in the settings", whatever the name's characters
     private static final Pattern MS = Pattern.compile("[0-9]{1,8}(?:\\.[0-9]{1,9})?");
 
     final String id;
@@ -61,8 +62,9 @@
         int at = form.start(4);
         int from = 0;
         int to = 0;
-        for (String part : form.group(4).split(",", -1)) {
-            Matcher field = FIELD.matcher(part);
+        String comment = form.group(4);
+        for (String part : comment.substring(0, comment.length() - 1).split(",", -1)) {
+            Matcher field = (part.startsWith("c=") ? CLASS : FIELD).matcher(part);
             if (!field.matches()) throw new UnreadableException("the comment has a part that is no name and value");
             if (said.put(field.group(1), field.group(2)) != null) throw new UnreadableException("the comment says " + field.group(1) + " twice");
             if (field.group(1).equals("d")) {
@@ -72,7 +74,7 @@
             at += part.length() + 1;
         }
         String id = said.get("id");
-        Method method = methods.get(said.getOrDefault("c", ""));
+        Method method = methods.get(new String(said.getOrDefault("c", "").getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8));
         String ms = said.getOrDefault("d", "");
         if (id == null) throw new UnreadableException("the comment has no id");
         if (method == null) throw new UnreadableException("the comment names no class that is known");
--- a/src/test/java/sprucerock/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/platform/CrossingsTest.java
@@ -206,6 +206,78 @@
         assertTrue(client.answer().startsWith("error"));
     }
 
+    private String pay(int ms) {
+        return "INSERT INTO records (k, v) VALUES ('00000000000000ab', '\\x9f03') RETURNING v /* id=" + (++ids) + ",c=pay,d=" + ms + " */";
+    }
+
+    /** A client goes, and the connection that its pick waits for comes up behind that: nothing is sent for it. */
+    @Test
+    public void aClientLeavesBeforeTheConnectionThatItsPickWaitsForIsUp() throws Exception {
+        leavesWhileItsPickWaits(true);
+    }
+
+    /** The other order, in one turn: the statement is on the connection, and has not left the relay. */
+    @Test
+    public void aClientLeavesAsTheConnectionThatItsPickWaitsForIsUp() throws Exception {
+        leavesWhileItsPickWaits(false);
+    }
+
+    private void leavesWhileItsPickWaits(boolean goesFirst) throws Exception {
+        starts(one.entry("s-1", "SERVING", 7));
+        Peers.Client marker = client();
+        one.holdsWelcomes = true;
+        Peers.Client gone = client();
+        gone.asks(pay(25_000));
+        Peers.Unit.Connection late = Peers.next(one.accepted, "a connection");
+        Peers.Client stays = client();
+        stays.asks(look());
+        Peers.Unit.Connection other = Peers.next(one.accepted, "another connection");
+        if (goesFirst) {
+            goes(gone, marker);
+            assertEquals(marker.answer(), ""); // written behind the turn in which the client's end was met
+            late.welcome();
+        } else {
+            CountDownLatch go = hold();
+            late.welcome();
+            Peers.read(late.socket);
+            goes(gone, marker);
+            go.countDown();
+            Peers.await(late.closed, "the end of the connection on which nothing was sent");
+            other.welcome();
+        }
+        Peers.Unit.Query query = one.query();
+        assertTrue(query.text().contains("c=look"), query.text());
+        query.on().says(Peers.value("stays"));
+        assertEquals(stays.answer(), "value stays");
+        assertTrue(one.asked.isEmpty());
+    }
+
+    /** Its end has come to the relay: the channels' thread meets what came in its order, so it has met that once it has read the marker. */
+    private void goes(Peers.Client client, Peers.Client marker) throws Exception {
+        client.socket.close();
+        Peers.closed(client.socket);
+        marker.asks("");
+        Peers.read(marker.socket);
+    }
+
+    /** The time of an RPC is over before the connection that its pick waits for comes up: it has its answer, and nothing is sent. */
+    @Test
+    public void aDeadlineComesWhileThePickWaitsForAConnection() throws Exception {
+        starts(one.entry("s-1", "SERVING", 7));
+        one.holdsWelcomes = true;
+        Peers.Client late = client();
+        late.asks(pay(300));
+        Peers.Unit.Connection connection = Peers.next(one.accepted, "a connection");
+        assertTrue(late.answer().startsWith("error"));
+        connection.welcome();
+        Peers.Client next = client();
+        next.asks(look());
+        Peers.Unit.Query query = one.query();
+        assertTrue(query.text().contains("c=look"), query.text());
+        query.on().says(Peers.value("next"));
+        assertEquals(next.answer(), "value next");
+    }
+
     // Lists.
 
     /** Guards against a statement that is written to a unit after the relay was told that it drains, as both came in one turn. */
@@ -276,8 +348,9 @@
         client.asks(look());
         two.query().on().says(Peers.value("two"));
         assertEquals(client.answer(), "value two");
+        Peers.read(successor.begins().socket);
         CountDownLatch go = hold();
-        successor.begins().list(6, false, two.entry("s-2", "DRAINING", 7), one.entry("s-1", "SERVING", 7));
+        successor.list(6, false, two.entry("s-2", "DRAINING", 7), one.entry("s-1", "SERVING", 7));
         Peers.read(successor.socket);
         watch.list(5, false, one.entry("s-1", "DRAINING", 7), two.entry("s-2", "SERVING", 7));
         Peers.read(watch.socket);
@@ -328,6 +401,40 @@
         assertEquals(client.answer(), "value fresh");
     }
 
+    /** A unit closes a connection in the turn in which it was chosen: nothing has left, so that even what may run once goes on. */
+    @Test
+    public void aUnitClosesAnIdleConnectionInTheTurnInWhichItWasChosen() throws Exception {
+        watch = starts(one.entry("s-1", "SERVING", 7));
+        Peers.Client client = client();
+        Peers.Client marker = client();
+        Peers.Unit.Connection kept = kept(one);
+        TimeUnit.MILLISECONDS.sleep(50); // quiet for long enough to be used: a shorter wait can only make this pass
+        CountDownLatch go = hold();
+        client.asks(pay(25_000));
+        Peers.read(client.socket);
+        watch.list(5, false, two.entry("s-2", "SERVING", 7)); // for the next pick, as each goes to another unit
+        Peers.read(watch.socket);
+        kept.socket.close();
+        Peers.closed(kept.socket);
+        marker.asks(""); // as in goes: the close is met before this
+        Peers.read(marker.socket);
+        go.countDown();
+        two.query().on().says(Peers.value("once"));
+        assertEquals(client.answer(), "value once");
+        assertTrue(one.asked.isEmpty());
+    }
+
+    /** The other order: the statement was written first, and may have run: what may run once is not repeated. */
+    @Test
+    public void aUnitClosesAConnectionBehindTheStatement() throws Exception {
+        starts(one.entry("s-1", "SERVING", 7));
+        Peers.Client client = client();
+        client.asks(pay(25_000));
+        one.query().on().socket.close();
+        assertEquals(client.answer(), "error 58000");
+        assertTrue(one.asked.isEmpty());
+    }
+
     // Shutdown, and closes by the relay.
 
     /**
--- a/src/test/java/sprucerock/platform/Peers.java
+++ b/src/test/java/sprucerock/platform/Peers.java
@@ -90,22 +90,33 @@
         until(from.getPort(), from.getLocalPort(), fields -> empty(fields, 1));
     }
 
+    /** Waits until the other side's system has been told that this socket is closed, or the other side has closed it too. */
+    static void closed(Socket from) throws IOException, InterruptedException {
+        until(from.getPort(), from.getLocalPort(), fields -> !fields[3].equals(ESTABLISHED));
+    }
+
+    private static final String ESTABLISHED = "01";
+
     private static boolean empty(String[] fields, int queue) {
         return fields[4].split(":")[queue].equals("00000000");
     }
 
-    /** Waits until the system's own table of connections says so of one: nothing else tells what a process has read. */
+    /** Waits until the system's own table of connections says so of one, or has it no more: nothing else tells what a process has read. */
     private static void until(int local, int remote, Predicate<String[]> what) throws IOException, InterruptedException {
         String here = String.format(Locale.ROOT, ":%04X", local);
-        String there = String.format(Locale.ROOT, ":%04X", remote);
+        String other = String.format(Locale.ROOT, ":%04X", remote);
         for (long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(LONG); System.nanoTime() < until; Thread.sleep(1)) {
+            boolean there = false;
             for (String table : new String[] {"/proc/net/tcp", "/proc/net/tcp6"}) {
                 if (!Files.exists(Path.of(table))) continue;
                 for (String line : Files.readAllLines(Path.of(table))) {
                     String[] fields = line.trim().split("\\s+");
-                    if (fields.length > 9 && fields[1].endsWith(here) && fields[2].endsWith(there) && what.test(fields)) return;
+                    if (fields.length < 10 || !fields[1].endsWith(here) || !fields[2].endsWith(other)) continue;
+                    if (what.test(fields)) return;
+                    there = true;
                 }
             }
+            if (!there) return;
         }
         throw new AssertionError("never so of the connection between the ports " + local + " and " + remote);
     }
@@ -286,7 +297,7 @@
 
         void asks(String... texts) throws IOException {
             byte[][] all = new byte[texts.length][];
-            for (int i = 0; i < all.length; i++) all[i] = Writer.query(texts[i].getBytes(StandardCharsets.US_ASCII));
+            for (int i = 0; i < all.length; i++) all[i] = Writer.query(texts[i].getBytes(StandardCharsets.UTF_8));
             sends(all);
         }
 
--- a/src/test/java/sprucerock/platform/PlatformTest.java
+++ b/src/test/java/sprucerock/platform/PlatformTest.java
@@ -676,6 +676,26 @@
         assertTrue(discovery.get(1).heard.toString().startsWith("GET /v1/servers?watch=1&from=6 "));
     }
 
+    /** One line takes a unit away and has it back as another, beside an entry that can't be read. */
+    @Test
+    public void aUnitGoneAndBackWithinOneLineIsTheNewOneAndWhatCannotBeReadIsLeftOut() throws Exception {
+        net.listen(address(302), 1000, 1 << 20, FakeUnit::new);
+        Client client = new Client().started();
+        discovery.get(0).chunk("{\"version\":5,\"full\":false,\"servers\":[" + entry("s-1", 300, "DELETED", 7) + ",{\"id\":\"s-1\",\"state\":\"SERVING\",\"addr\":\"nowhere\",\"image_id\":7},7,"
+            + entry("s-1", 302, "SERVING", 7) + "," + entry("s-2", 301, "DELETED", 7) + "]}\n");
+        for (int i = 0; i < 5; i++) {
+            client.asks(look(900));
+            last().says(value("x"));
+            net.pass(20);
+        }
+        assertEquals(client.got.size(), 20);
+        discovery.get(0).chunk("{\"version\":4,\"full\":false,\"servers\":[" + entry("s-1", 302, "DELETED", 7) + "]}\n"); // told before
+        client.got.clear();
+        client.asks(look(900));
+        last().says(value("y"));
+        assertEquals(client.got, served("y"));
+    }
+
     /** Guards against a list that can't be read and is asked for again without a pause, for ever. */
     @Test
     public void whatCannotBeReadIsAskedForAgainAfterPausesThatGrow() {
