A watch that stays silent is looked at once in its time, not every millisecond

Ruled out: the timer behind each answer (a few a second).

Change: a look that found silence is due again after the whole silence.

--- a/src/main/java/sprucerock/platform/Feed.java
+++ b/src/main/java/sprucerock/platform/Feed.java
@@ -66,14 +66,14 @@
 
         void ask() {
             link.get(path.get(), this);
-            look();
+            look(silence);
         }
 
-        private void look() {
-            Span silent = net.now().since(link.heardLast());
-            net.patiently(silence.minus(silent).atLeast(Span.ofMs(1)), () -> {
+        private void look(Span after) {
+            net.patiently(after, () -> {
                 if (this != heard && this != next) return;
-                if (silence.over(net.now().since(link.heardLast()))) look();
+                Span silent = net.now().since(link.heardLast());
+                if (silence.over(silent)) look(silence.minus(silent).atLeast(Span.ofMs(1)));
                 else silent();
             });
         }
@@ -83,7 +83,7 @@
             String why = "silent for " + silence.ms() + " ms";
             if (this == next) next = null;
             dial();
-            if (this == heard) look(); // it may tell again, and fall silent once more
+            if (this == heard) look(silence); // it may tell again, and fall silent once more
             else cut(why);
             reader.lost(why);
         }
--- /dev/null
+++ b/src/test/java/sprucerock/platform/FeedTest.java
@@ -0,0 +1,112 @@
+package sprucerock.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import sprucerock.net.Link;
+import sprucerock.net.LinkUser;
+import sprucerock.net.ScriptedNet;
+import sprucerock.time.Span;
+
+/** One answer without end, from a server that tells nothing or comes and goes. */
+public class FeedTest {
+    private static final InetSocketAddress AT = new InetSocketAddress("127.0.0.1", 200);
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private ScriptedNet net;
+    private final List<Link> asked = new ArrayList<>();
+    private final List<String> lost = new ArrayList<>();
+    private final StringBuilder heard = new StringBuilder();
+    private int closed;
+    private int begun;
+
+    @BeforeMethod
+    public void begin() {
+        net = new ScriptedNet(0, 1);
+        asked.clear();
+        lost.clear();
+        heard.setLength(0);
+        closed = 0;
+        begun = 0;
+    }
+
+    private Feed feed() throws Exception {
+        net.listen(AT, 100, 1 << 20, () -> new LinkUser() {
+            @Override
+            public void up(Link link) {
+                asked.add(link);
+            }
+
+            @Override
+            public void received(ByteBuffer bytes) {}
+
+            @Override
+            public void closed(String why) {
+                closed++;
+            }
+        });
+        Feed feed = new Feed(net, AT, () -> "/", Span.ofMs(3000), Span.ofMs(200), () -> 0.5, new Feed.Reader() {
+            @Override
+            public void begun() {
+                begun++;
+            }
+
+            @Override
+            public void piece(ByteBuffer bytes) {
+                heard.append(StandardCharsets.US_ASCII.decode(bytes));
+            }
+
+            @Override
+            public void lost(String why) {
+                lost.add(why);
+            }
+        });
+        net.turn(feed::dial);
+        net.settle();
+        return feed;
+    }
+
+    private void says(int watch, String text) {
+        net.turn(() -> asked.get(watch).append(text.getBytes(StandardCharsets.US_ASCII)));
+        net.settle();
+    }
+
+    /** Guards against a look at a silent watch that is due again at once: it took a processor's time for as long as the silence. */
+    @Test
+    public void silenceIsToldAndAskedAboutOnceInItsTimeAndTwoWatchesAtMostAreOpen() throws Exception {
+        feed();
+        says(0, HEAD + "1\r\na\r\n");
+        net.pass(30_500);
+        assertEquals(asked.size(), 1 + 10); // at 3 s, and every 3 s a new successor
+        assertTrue(lost.size() <= 20, lost.size() + " times in half a minute");
+        assertEquals(asked.size() - closed, 2);
+        says(0, "1\r\nb\r\n"); // the first is heard still
+        assertEquals(heard.toString(), "ab");
+        says(asked.size() - 1, HEAD + "1\r\nc\r\n");
+        says(0, "1\r\nd\r\n");
+        assertEquals(heard.toString(), "abc");
+        assertEquals(begun, 2);
+        assertEquals(asked.size() - closed, 1);
+    }
+
+    /** A heard watch that is lost while its successor is asked for leaves the successor alone. */
+    @Test
+    public void aLostWatchIsNotAskedForBesideItsSuccessor() throws Exception {
+        feed();
+        says(0, HEAD + "1\r\na\r\n");
+        net.pass(3100);
+        assertEquals(asked.size(), 2);
+        net.turn(() -> asked.get(0).cut("gone"));
+        net.pass(500);
+        assertEquals(asked.size(), 2);
+        says(1, HEAD + "1\r\nb\r\n");
+        assertEquals(heard.toString(), "ab");
+    }
+}
