--- a/src/test/java/sprucerock/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/platform/CrossingsTest.java
@@ -100,16 +100,20 @@
     private CountDownLatch hold() throws InterruptedException {
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
-        loop.post(() -> {
+        loop.post(standsStill(held, go));
+        Peers.await(held, "the loop");
+        return go;
+    }
+
+    private static Runnable standsStill(CountDownLatch held, CountDownLatch go) {
+        return () -> {
             held.countDown();
             try {
                 go.await();
             } catch (InterruptedException e) {
                 throw new IllegalStateException(e);
             }
-        });
-        Peers.await(held, "the loop");
-        return go;
+        };
     }
 
     private Peers.Client client() throws Exception {
@@ -445,14 +449,7 @@
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
         loop.post(() -> {
-            loop.at(loop.now().plus(Serving.STILL), () -> {
-                held.countDown();
-                try {
-                    go.await();
-                } catch (InterruptedException e) {
-                    throw new IllegalStateException(e);
-                }
-            });
+            loop.at(loop.now().plus(Serving.STILL), standsStill(held, go));
             serving.shutdown(() -> {
                 loop.close();
                 ended.countDown();
@@ -525,14 +522,7 @@
         });
         Peers.await(listens, "the door");
         loop.post(() -> {
-            loop.at(loop.now(), () -> { // in front of the door's own timers, and of what comes
-                held.countDown();
-                try {
-                    go.await();
-                } catch (InterruptedException e) {
-                    throw new IllegalStateException(e);
-                }
-            });
+            loop.at(loop.now(), standsStill(held, go)); // in front of the door's own timers, and of what comes
             door[0].shutdown(Span.ZERO, Span.ZERO);
         });
         Peers.await(held, "the loop");
