--- a/src/test/java/sprucerock/platform/PlatformTest.java
+++ b/src/test/java/sprucerock/platform/PlatformTest.java
@@ -729,7 +729,7 @@
     }
 
     @Test
-    public void aConfigurationThatCannotBeUsedIsOneLine() throws IOException {
+    public void aConfigurationThatCannotBeUsedIsOneLine() throws IOException, ConfigException {
         Path file = Files.createTempFile("platform", ".json");
         try {
             for (String bad : new String[] {"", "{", "[]", "{\"listen\":5}", "{\"listen\":\"127.0.0.1:1\",\"discovery\":\"nowhere\"}"}) {
@@ -738,6 +738,8 @@
                 assertFalse(e.getMessage().contains("\n"), e.getMessage());
             }
             assertThrows(ConfigException.class, () -> PlatformConfig.read(Map.of()));
+            assertThrows(ConfigException.class, () -> config(79, 500, "")); // none would be left for units
+            assertEquals(config(80, 500, "").sockets, 80);
         } finally {
             Files.delete(file);
         }
