A relay's ask for promises looks at no other relay, rack or freeze

Cause: each ask walked all holders, and for each of these all racks (the longest notice was found anew each time); what one rack is promised walked all freezes; so did the look each 50 ms whether time has changed anything; while a freeze drained, each ask walked all holders again.

Now kept by the step that changes it: freezes by rack in the order of their beginnings, freezes by when time alone makes their next step, those that drain, holders in the order of their asks and by the state that they hold. The longest notice is found once. Many steps of one turn are told to relays once.

A walk through everything is held against what is kept, in 40 drawn histories of 400 events.

Found by the way: by which step a freeze binds was looked up among the last hundred steps; of one that was extended a hundred times while it drained it was gone, nobody was said to hold a promise into it, and it could come into force too soon. It is kept apart now; its test fails where it is looked up as before.

--- a/src/main/java/sprucerock/desk/Desk.java
+++ b/src/main/java/sprucerock/desk/Desk.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -54,6 +55,7 @@
     private final Map<String, Long> delivered = new ConcurrentHashMap<>();
     private final Runnable replaced;
     private final InetSocketAddress relaysAt;
+    private final AtomicBoolean promisesTold = new AtomicBoolean(true); // false: relays are about to be; also set by the thread that starts
     private boolean marked;
     private volatile boolean stopped;
     private volatile boolean lost;
@@ -212,12 +214,14 @@
 
             @Override
             public void promisesChanged() {
-                if (!engine().replaying()) loop.post(Desk.this::tellPromises); // a start happens on another thread
+                // a start happens on another thread; a turn that moves many freezes is told once
+                if (!engine().replaying() && promisesTold.getAndSet(false)) loop.post(Desk.this::tellPromises);
             }
         };
     }
 
     private void tellPromises() {
+        promisesTold.set(true);
         if (relays != null) relays.promisesChanged(); // else nobody is linked yet
     }
 
--- a/src/main/java/sprucerock/freeze/Freeze.java
+++ b/src/main/java/sprucerock/freeze/Freeze.java
@@ -53,6 +53,12 @@
     State state = State.ANNOUNCED;
     /** Since when no new promise reaches into it: those given before run out by themselves. */
     long boundSince;
+    /** The step by which it last bound: who holds a promise of an earlier state may hold one into it. */
+    long boundBy;
+    /** When time alone makes its next step; kept by {@link Freezes}, which finds it by that. */
+    long dueMs = Long.MAX_VALUE;
+    /** The longest of its racks', once it was asked for; below 0: not yet. */
+    long noticeMs = -1;
     /** Who has said that it is to begin although there is no room. */
     final TreeSet<String> forcedBy = new TreeSet<>();
     private final List<Step> steps = new ArrayList<>();
@@ -70,6 +76,7 @@
     }
 
     void add(Step step) {
+        if (step.state() == State.ACCEPTED) boundBy = step.sequence(); // kept apart: that step may be dropped below, and the freeze would bind nobody
         if (steps.size() >= MOST_STEPS) steps.remove(1); // the first one says who wanted it
         steps.add(step);
     }
--- a/src/main/java/sprucerock/freeze/FreezeNotes.java
+++ b/src/main/java/sprucerock/freeze/FreezeNotes.java
@@ -27,7 +27,7 @@
             freeze.boundSince = one.boundSince;
             freeze.forcedBy.addAll(one.forcedBy);
             one.steps.forEach(freeze::add);
-            core.freezes.put(freeze.number, freeze);
+            core.known(freeze);
         }
     }
 }
--- a/src/main/java/sprucerock/freeze/Freezes.java
+++ b/src/main/java/sprucerock/freeze/Freezes.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -37,11 +40,18 @@
 
     public static final int MOST_OPEN = 1000;
     private static final int MOST_KEPT = 2000; // with those that are over, of which the oldest go first
+    private static final Comparator<Freeze> BY_BEGIN = Comparator.<Freeze>comparingLong(one -> one.from).thenComparingLong(one -> one.number);
 
     private final Rules rules;
     private final Headroom room;
     private final Host host;
     final TreeMap<Long, Freeze> freezes = new TreeMap<>();
+    // What is asked often is kept as it changes, by step() alone: a relay's ask, and a look each 50 ms, walk neither racks nor freezes.
+    private final Map<String, TreeSet<Freeze>> binding = new HashMap<>(); // by rack, by when they begin
+    private final TreeSet<Freeze> timed = new TreeSet<>(Comparator.<Freeze>comparingLong(one -> one.dueMs).thenComparingLong(one -> one.number));
+    private final TreeMap<Long, Freeze> draining = new TreeMap<>();
+    private final long longestMs;
+    private long looked;
     long sequence;
     long numbers;
     long nowMs;
@@ -51,11 +61,12 @@
         this.rules = rules;
         this.room = room;
         this.host = host;
+        longestMs = room.racks().values().stream().mapToLong(Rack::noticeMs).max().orElse(0);
     }
 
     /** One without racks, for a controller that has no freezes. */
     public static Freezes none() {
-        return new Freezes(new Rules(0, 1, 0.9), new Headroom(List.of(), java.util.Map.of(), 0), new Host() {
+        return new Freezes(new Rules(0, 1, 0.9), new Headroom(List.of(), Map.of(), 0), new Host() {
             @Override
             public void changed(Freeze freeze, Freeze.Step step) {
                 // there is none
@@ -270,7 +281,19 @@
     /** Whether a tick would change anything. */
     public boolean due(long wallMs) {
         long at = Math.max(nowMs, wallMs);
-        return freezes.values().stream().anyMatch(one -> next(one, at) != null);
+        looked++;
+        return !timed.isEmpty() && timed.first().dueMs <= at;
+    }
+
+    /** Its next step by time alone; never, where only a word makes one. */
+    private long dueMs(Freeze one) {
+        return switch (one.state) {
+            case ACCEPTED -> one.from;
+            case DRAINING -> Math.min(promisesEnd(one), one.to);
+            case HELD, IN_FORCE -> one.to;
+            case ENDING -> one.to + rules.warmMs();
+            default -> Long.MAX_VALUE;
+        };
     }
 
     private Freeze.State next(Freeze one, long nowMs) {
@@ -285,7 +308,13 @@
     }
 
     private void settle(long nowMs) {
-        for (Freeze one : List.copyOf(freezes.values())) {
+        TreeMap<Long, Freeze> due = new TreeMap<>(); // in the order of their numbers, as steps are counted
+        for (Freeze one : timed) {
+            looked++;
+            if (one.dueMs > nowMs) break;
+            due.put(one.number, one);
+        }
+        for (Freeze one : due.values()) {
             for (Freeze.State next = next(one, nowMs); next != null; next = next(one, nowMs)) {
                 String cause = switch (next) {
                     case DRAINING -> "its time has come";
@@ -307,24 +336,39 @@
 
     /** The longest of its racks'. */
     long noticeMs(Freeze freeze) {
+        if (freeze.noticeMs >= 0) return freeze.noticeMs;
         long longest = 0;
         for (String name : freeze.racks) {
             Rack rack = room.racks().get(name);
             if (rack != null) longest = Math.max(longest, rack.noticeMs());
         }
+        freeze.noticeMs = longest; // racks are of the configuration
         return longest;
     }
 
     /** The longest of all. */
     long longestMs() {
-        return room.racks().values().stream().mapToLong(Rack::noticeMs).max().orElse(0);
+        return longestMs;
+    }
+
+    /** Whose time has come and which are not in force yet. */
+    Collection<Freeze> draining() {
+        return draining.values();
+    }
+
+    /** Entries that were looked at so far to answer relays and to see what time changes: what tests of its growth count. */
+    public long looked() {
+        return looked;
     }
 
     /** For how long from now on nothing will be frozen on a rack, in milliseconds; 0: it is frozen or draining. */
     long free(String rack, long nowMs) {
         long left = room.racks().get(rack).noticeMs();
-        for (Freeze one : freezes.values()) {
-            if (one.state.binds() && one.racks.contains(rack) && nowMs < one.to) left = Math.min(left, Math.max(0, one.from - nowMs));
+        TreeSet<Freeze> known = binding.get(rack);
+        if (known == null) return left;
+        for (Freeze one : known) {
+            looked++;
+            if (nowMs < one.to) return Math.min(left, Math.max(0, one.from - nowMs)); // the others begin later
         }
         return left;
     }
@@ -334,9 +378,36 @@
     }
 
     private void step(Freeze freeze, Freeze.State to, String cause, long nowMs) {
+        leave(freeze);
         freeze.state = to;
+        enter(freeze);
         Freeze.Step step = new Freeze.Step(++sequence, nowMs, to, cause);
         freeze.add(step);
         host.changed(freeze, step);
     }
+
+    /** One that is known from a former life. */
+    void known(Freeze freeze) {
+        freezes.put(freeze.number, freeze);
+        enter(freeze);
+    }
+
+    /** Before anything of it changes by which it is found. */
+    private void leave(Freeze freeze) {
+        timed.remove(freeze);
+        draining.remove(freeze.number);
+        if (!freeze.state.binds()) return;
+        for (String rack : freeze.racks) {
+            TreeSet<Freeze> all = binding.get(rack);
+            all.remove(freeze);
+            if (all.isEmpty()) binding.remove(rack);
+        }
+    }
+
+    private void enter(Freeze freeze) {
+        freeze.dueMs = dueMs(freeze);
+        if (freeze.dueMs < Long.MAX_VALUE) timed.add(freeze);
+        if (freeze.state == Freeze.State.DRAINING) draining.put(freeze.number, freeze);
+        if (freeze.state.binds()) for (String rack : freeze.racks) binding.computeIfAbsent(rack, any -> new TreeSet<>(BY_BEGIN)).add(freeze);
+    }
 }
--- a/src/main/java/sprucerock/freeze/Promises.java
+++ b/src/main/java/sprucerock/freeze/Promises.java
@@ -1,6 +1,9 @@
 package sprucerock.freeze;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -10,14 +13,22 @@
 /**
  * What one controller's life has promised to which relay, and which relays still hold a promise into a freeze. Not kept on disk: what a
  * former life promised runs out within a notice, and until then nobody is said to have given everything back.
+ *
+ * <p>An ask is what comes most often, so it looks at no other relay: who asked last stands last in one line, from whose front those go
+ * whose promises have run out, and those of one state stand together, the last one to ask first. There are as many states as there were steps
+ * within a notice.
  */
 public final class Promises {
-    private record Held(long sequence, long since) {}
+    private record Held(int relay, long sequence, long since) {}
 
-    /** A relay is forgotten once all that it was promised has run out. */
-    private final Map<Integer, Held> held = new TreeMap<>();
+    private static final Comparator<Held> BY_TIME = Comparator.comparingLong(Held::since).thenComparingInt(Held::relay);
+
+    /** In the order of their asks. A relay is forgotten once all that it was promised has run out. */
+    private final LinkedHashMap<Integer, Held> held = new LinkedHashMap<>();
+    private final TreeMap<Long, TreeSet<Held>> byState = new TreeMap<>();
     private final Freezes freezes;
     private final long startedMs;
+    private long looked;
 
     /** {@code nowMs}: when this life began to promise. */
     public Promises(Freezes freezes, long nowMs) {
@@ -25,12 +36,27 @@
         startedMs = nowMs;
     }
 
-    /** A relay asks, and is promised anew: what it holds is of that state, or of none (0), and of no earlier one. */
+    /** A relay asks, and is promised anew: what it holds is of that state, or of none (0), and of no earlier one. {@code nowMs} never goes back. */
     public void asked(int relay, long holds, long nowMs) {
-        Held before = held.get(relay);
+        Held before = held.remove(relay);
+        if (before != null) leave(before);
         // an ask that was long on its way does not take back what a later one said; what it will be told now, it may never hear
-        held.put(relay, new Held(before == null ? holds : Math.max(holds, before.sequence), nowMs));
-        held.values().removeIf(one -> nowMs - one.since > freezes.longestMs());
+        Held now = new Held(relay, before == null ? holds : Math.max(holds, before.sequence), nowMs);
+        held.put(relay, now);
+        byState.computeIfAbsent(now.sequence, any -> new TreeSet<>(BY_TIME)).add(now);
+        for (Iterator<Held> oldest = held.values().iterator(); oldest.hasNext();) {
+            looked++;
+            Held one = oldest.next();
+            if (nowMs - one.since <= freezes.longestMs()) break;
+            oldest.remove();
+            leave(one);
+        }
+    }
+
+    private void leave(Held one) {
+        TreeSet<Held> same = byState.get(one.sequence);
+        same.remove(one);
+        if (same.isEmpty()) byState.remove(one.sequence);
     }
 
     /** For how long from now on nothing will be frozen on a rack, in milliseconds; 0: it is frozen or draining. */
@@ -43,17 +69,39 @@
         Set<Integer> out = new TreeSet<>();
         if (nowMs >= freezes.promisesEnd(freeze)) return out;
         if (nowMs < startedMs + freezes.noticeMs(freeze)) out.add(-1);
-        long bound = freeze.steps().stream().filter(step -> step.state() == Freeze.State.ACCEPTED).mapToLong(Freeze.Step::sequence).max().orElse(0);
-        held.forEach((relay, one) -> {
-            if (one.sequence < bound && nowMs < one.since + freezes.noticeMs(freeze)) out.add(relay);
-        });
+        for (TreeSet<Held> same : byState.headMap(freeze.boundBy).values()) {
+            for (Held one : same.descendingSet()) {
+                looked++;
+                if (nowMs >= one.since + freezes.noticeMs(freeze)) break;
+                out.add(one.relay);
+            }
+        }
         return out;
     }
 
+    /** The same as whether {@link #out} finds none, by the last of each state. */
+    private boolean nobodyOut(Freeze freeze, long nowMs) {
+        if (nowMs >= freezes.promisesEnd(freeze)) return true;
+        if (nowMs < startedMs + freezes.noticeMs(freeze)) return false;
+        for (Map.Entry<Long, TreeSet<Held>> same : byState.headMap(freeze.boundBy).entrySet()) {
+            looked++;
+            if (nowMs < same.getValue().last().since + freezes.noticeMs(freeze)) return false;
+        }
+        return true;
+    }
+
     /** Freezes whose time has come and into which nobody holds a promise any more: to be recorded as {@link Freezes#cleared}. */
     public List<Long> cleared(long nowMs) {
         List<Long> found = new ArrayList<>();
-        for (Freeze one : freezes.all()) if (one.state() == Freeze.State.DRAINING && out(one, nowMs).isEmpty()) found.add(one.number);
+        for (Freeze one : freezes.draining()) {
+            looked++;
+            if (nobodyOut(one, nowMs)) found.add(one.number);
+        }
         return found;
     }
+
+    /** Entries that were looked at so far: what tests of its growth count. */
+    public long looked() {
+        return looked;
+    }
 }
--- a/src/test/java/sprucerock/freeze/FreezesTest.java
+++ b/src/test/java/sprucerock/freeze/FreezesTest.java
@@ -253,4 +253,81 @@
         }
         assertTrue(inForce > 5000, "hardly ever in force: " + inForce);
     }
+
+    /** Of so many words only the last steps are kept; by which step it binds is not forgotten with them. */
+    @Test
+    public void oneThatWasExtendedOftenStillWaitsForThosePromisedBefore() {
+        promises = new Promises(freezes, -HOUR);
+        asks(7, 0, 0);
+        Freeze freeze = announce("a1", MIN, HOUR, 0, 0);
+        freezes.tick(2 * MIN);
+        for (int i = 1; i <= 2 * Freeze.MOST_STEPS; i++) assertNull(freezes.extend(freeze.number, MIN + HOUR + i * 1000, "ann", "not done yet", 2 * MIN));
+        assertEquals(freeze.steps().size(), Freeze.MOST_STEPS);
+        asks(8, freezes.sequence(), 3 * MIN);
+        assertEquals(promises.out(freeze, 3 * MIN), Set.of(7));
+        assertEquals(freeze.state(), Freeze.State.DRAINING);
+    }
+
+    /** Whatever happens in whatever order: what is kept as it changes is what a walk through everything finds. */
+    @Test
+    public void whatIsKeptIsWhatAWalkFinds() {
+        for (int seed = 0; seed < 40; seed++) {
+            fresh();
+            Random random = new Random(seed);
+            Map<Integer, long[]> held = new TreeMap<>(); // state, since
+            long now = 0;
+            promises = new Promises(freezes, -NOTICE);
+            for (int i = 0; i < 400; i++) {
+                now += random.nextInt(4) == 0 ? random.nextInt((int) (20 * MIN)) : random.nextInt(5000);
+                int dice = random.nextInt(20);
+                String rack = new String[] {"a1", "a2", "a3", "b1"}[random.nextInt(4)];
+                long some = 1 + random.nextInt(Math.max(1, freezes.all().size()));
+                if (dice == 0) freezes.announce(Set.of(rack), now + random.nextInt((int) HOUR), MIN + random.nextInt((int) HOUR), 0, "", "UTC", random.nextInt(4) == 0, "ann", "x", now);
+                else if (dice == 1) freezes.callOff(some, "ann", "x", now);
+                else if (dice == 2 && freezes.of(some) != null) freezes.extend(some, freezes.of(some).to() + random.nextInt((int) (30 * MIN)), "ann", "x", now);
+                else if (dice == 3) freezes.down(rack, random.nextBoolean(), now);
+                else if (dice == 4) freezes.force(some, random.nextBoolean() ? "ann" : "bob", "x", now);
+                else if (dice == 5) freezes.tick(now);
+                else {
+                    int relay = random.nextInt(8);
+                    long holds = Math.max(0, freezes.sequence() - random.nextInt(6));
+                    promises.asked(relay, holds, now);
+                    long before = held.containsKey(relay) && now - held.get(relay)[1] <= 24 * HOUR ? held.get(relay)[0] : 0;
+                    held.put(relay, new long[] {Math.max(holds, before), now});
+                }
+                walk(held, now, "seed " + seed + ", step " + i);
+                if (random.nextInt(3) == 0) for (long number : promises.cleared(now)) freezes.cleared(number, now);
+            }
+        }
+    }
+
+    private void walk(Map<Integer, long[]> held, long now, String where) {
+        boolean due = false;
+        List<Long> cleared = new ArrayList<>();
+        Map<String, Long> free = new TreeMap<>(Map.of("a1", NOTICE, "a2", NOTICE, "a3", NOTICE, "b1", 24 * HOUR));
+        for (Freeze one : freezes.all()) {
+            due |= switch (one.state()) {
+                case ACCEPTED -> now >= one.from();
+                case HELD, IN_FORCE -> now >= one.to();
+                case DRAINING -> now >= one.to() || now >= freezes.promisesEnd(one);
+                case ENDING -> now >= one.to() + 5 * MIN;
+                default -> false;
+            };
+            if (one.state().binds() && now < one.to()) for (String rack : one.racks) free.merge(rack, Math.max(0, one.from() - now), Math::min);
+            Set<Integer> out = new java.util.TreeSet<>();
+            long notice = one.racks.contains("b1") ? 24 * HOUR : NOTICE;
+            if (now < freezes.promisesEnd(one)) {
+                if (now < -NOTICE + notice) out.add(-1);
+                long bound = one.steps().stream().filter(step -> step.state() == Freeze.State.ACCEPTED).mapToLong(Freeze.Step::sequence).max().orElse(0);
+                held.forEach((relay, said) -> {
+                    if (said[0] < bound && now < said[1] + notice) out.add(relay);
+                });
+            }
+            assertEquals(promises.out(one, now), out, where + ", freeze " + one.number);
+            if (one.state() == Freeze.State.DRAINING && out.isEmpty()) cleared.add(one.number);
+        }
+        assertEquals(freezes.due(now), due, where);
+        assertEquals(promises.cleared(now), cleared, where);
+        free.forEach((rack, left) -> assertEquals(promises.promised(rack, now), (long) left, where + ", rack " + rack));
+    }
 }
