A promise names only the racks that are free for less than their notice

Cause: each answer named every rack, 11 bytes each; relays ask each second by default, so with 3,000 racks one would hear 32.6 kB/s of promises alone, where 13 kB/s are allowed for all of control, and a controller of 7,700 relays would send 251 MB/s.

Now a relay asks with the number of the list of racks that it was told whole, and is told the racks that are frozen or will be within their notice; all others of that list are free for just that. The number comes from the racks: it holds over a controller's restart, and another configuration tells all anew. What an answer leaves out is counted from before the ask, shortened by drift, like what it names; by a list that a relay was not told nothing counts. Older relays are told all each time, byte for byte as before; an older controller's answers number nothing and nothing is filled in.

What is left out is held against a walk through all freezes in the drawn histories of FreezesTest.

--- a/src/main/java/sprucerock/desk/DeskConfig.java
+++ b/src/main/java/sprucerock/desk/DeskConfig.java
@@ -65,6 +65,9 @@
     public final long mostBytes;
     public final Plan plan;
 
+    // What a relay is told once, 14 bytes each, fits the frames and the bytes unsent that links have unless they are set lower; a
+    // fleet of 120,000 units has some 3,000.
+    private static final int MOST_RACKS = 10_000;
     private static final int CANDIDATE = 65_000; // among those who stand for leases; far over relays' numbers
 
     /** Reads and checks a file; the first thing that is wrong ends it. */
@@ -166,6 +169,7 @@
             if (rack.noticeMs() <= 0) throw one.wrong("notice is over 0");
             if (rack.zone() > 32_767) throw one.wrong("a zone is 0 to 32767");
             if (!places.add(rack.zone() << 16 | rack.cell())) throw one.wrong("two racks have one zone and cell");
+            if (racks.size() > MOST_RACKS) throw one.wrong("more than " + MOST_RACKS + " racks");
         }
         Map<Integer, Headroom.Forecast> forecasts = new TreeMap<>();
         for (Node one : node.all("forecast")) {
--- a/src/main/java/sprucerock/desk/RelaysDoor.java
+++ b/src/main/java/sprucerock/desk/RelaysDoor.java
@@ -9,7 +9,6 @@
 import sprucerock.controller.v1.Cast;
 import sprucerock.controller.v1.FamiliesWorth;
 import sprucerock.controller.v1.Input;
-import sprucerock.freeze.Rack;
 import sprucerock.net.Net;
 import sprucerock.net.Timers;
 import sprucerock.time.Span;
@@ -22,7 +21,6 @@
 import sprucerock.wire.v1.News;
 import sprucerock.wire.v1.PromiseAsk;
 import sprucerock.wire.v1.Promised;
-import sprucerock.wire.v1.RackFree;
 import sprucerock.wire.v1.Role;
 import sprucerock.wire.v1.Stand;
 import sprucerock.wire.v1.Taken;
@@ -43,6 +41,7 @@
     private final Tap tap;
     private final Desk desk;
     private final Set<Session> sessions = new LinkedHashSet<>();
+    private final RackList racks;
     private Net.Listener listener;
 
     RelaysDoor(Net net, DeskConfig config, Tap tap, Desk desk) {
@@ -50,6 +49,7 @@
         this.config = config;
         this.tap = tap;
         this.desk = desk;
+        racks = new RackList(desk.engine().freezes().room().racks());
         limits = new Limits(64 * 1024, Math.max(config.unsent, 64 * 1024), Span.ofMs(2000));
     }
 
@@ -176,9 +176,7 @@
             long now = desk.engine().freezes().later(desk.engine().wallMs());
             desk.promises().asked(link.other().getNumber(), ask.getHolds(), now);
             Promised.Builder promised = Promised.newBuilder().setId(ask.getId()).setEpoch(desk.engine().releases().epoch()).setSequence(desk.engine().freezes().sequence());
-            for (Rack rack : desk.engine().freezes().room().racks().values()) {
-                promised.addRacks(RackFree.newBuilder().setZone(rack.zone()).setCell(rack.cell()).setLeftMs(desk.promises().promised(rack.name(), now)));
-            }
+            racks.into(promised, ask.getList(), desk.promises().shorter(now));
             desk.lookAtFreezes();
             if (ask.getId() > 0 && desk.holdsSeat()) link.send(Kind.PROMISED, promised.build(), NO_BODY);
         }
--- a/src/main/java/sprucerock/freeze/Freezes.java
+++ b/src/main/java/sprucerock/freeze/Freezes.java
@@ -49,6 +49,7 @@
     // What is asked often is kept as it changes, by step() alone: a relay's ask, and a look each 50 ms, walk neither racks nor freezes.
     private final Map<String, TreeSet<Freeze>> binding = new HashMap<>(); // by rack, by when they begin
     private final TreeSet<Freeze> timed = new TreeSet<>(Comparator.<Freeze>comparingLong(one -> one.dueMs).thenComparingLong(one -> one.number));
+    private final TreeSet<Freeze> bound = new TreeSet<>(BY_BEGIN); // all that bind
     private final TreeMap<Long, Freeze> draining = new TreeMap<>();
     private final long longestMs;
     private long looked;
@@ -373,6 +374,23 @@
         return left;
     }
 
+    /** Racks that are frozen or will be within their notice, each with how long it is free; all others are free for their notice. */
+    TreeMap<String, Long> soon(long nowMs) {
+        TreeMap<String, Long> found = new TreeMap<>();
+        for (Freeze one : bound) {
+            looked++;
+            if (one.from >= nowMs + longestMs) break;
+            if (nowMs >= one.to) continue;
+            long left = Math.max(0, one.from - nowMs);
+            for (String name : one.racks) {
+                looked++;
+                Rack rack = room.racks().get(name);
+                if (rack != null && left < rack.noticeMs()) found.putIfAbsent(name, left); // the first begins first
+            }
+        }
+        return found;
+    }
+
     public Headroom room() {
         return room;
     }
@@ -397,6 +415,7 @@
         timed.remove(freeze);
         draining.remove(freeze.number);
         if (!freeze.state.binds()) return;
+        bound.remove(freeze);
         for (String rack : freeze.racks) {
             TreeSet<Freeze> all = binding.get(rack);
             all.remove(freeze);
@@ -408,6 +427,8 @@
         freeze.dueMs = dueMs(freeze);
         if (freeze.dueMs < Long.MAX_VALUE) timed.add(freeze);
         if (freeze.state == Freeze.State.DRAINING) draining.put(freeze.number, freeze);
-        if (freeze.state.binds()) for (String rack : freeze.racks) binding.computeIfAbsent(rack, any -> new TreeSet<>(BY_BEGIN)).add(freeze);
+        if (!freeze.state.binds()) return;
+        bound.add(freeze);
+        for (String rack : freeze.racks) binding.computeIfAbsent(rack, any -> new TreeSet<>(BY_BEGIN)).add(freeze);
     }
 }
--- a/src/main/java/sprucerock/freeze/Promises.java
+++ b/src/main/java/sprucerock/freeze/Promises.java
@@ -64,6 +64,11 @@
         return freezes.free(rack, nowMs);
     }
 
+    /** The racks that are promised for less than their notice, by their names, in milliseconds: all others are for just that. */
+    public Map<String, Long> shorter(long nowMs) {
+        return freezes.soon(nowMs);
+    }
+
     /** Relays that may still hold a promise into it, by their numbers; -1: such as are not known, because this life began since. */
     public Set<Integer> out(Freeze freeze, long nowMs) {
         Set<Integer> out = new TreeSet<>();
--- a/src/main/java/sprucerock/relay/Racks.java
+++ b/src/main/java/sprucerock/relay/Racks.java
@@ -35,6 +35,7 @@
         void racksChanged();
     }
 
+    private static final long NO_LIST = 1; // of the protocol: one is welcome
     private static final Span SPREAD = Span.ofMs(100); // over which relays that were told together ask
 
     private final Net net;
@@ -44,6 +45,10 @@
     private final Owner owner;
     private final Shared shared = new Shared();
     private final Map<Long, Moment> asked = new HashMap<>();
+    // Told whole once; by its number a controller names only racks that are free for less than their notice. One that knows of no lists
+    // tells all each time, and so does one whose racks are others.
+    private long list = NO_LIST;
+    private Map<Integer, Span> notices = Map.of();
     private long lastAsk;
     private long epoch;
     private Timer next;
@@ -72,7 +77,7 @@
     private void ask() {
         if (stopped) return;
         asked.clear(); // an answer that took longer than a round is of no use: the next one is on its way
-        PromiseAsk ask = PromiseAsk.newBuilder().setId(++lastAsk).setHolds(shared.take().sequence()).build();
+        PromiseAsk ask = PromiseAsk.newBuilder().setId(++lastAsk).setHolds(shared.take().sequence()).setList(list).build();
         asked.put(lastAsk, net.now());
         owner.ask(ask);
         next = net.at(net.now().plus(config.racksEvery.times(0.75 + 0.5 * chance.next())), this::ask);
@@ -91,9 +96,16 @@
             events.warn(Events.Kind.NEWS_REFUSED, "a promise of epoch " + promised.getEpoch() + ", " + epoch + " was heard");
             return;
         }
+        if (promised.getRest() && promised.getList() != list) { // never asked for: what it leaves out can't be known
+            events.warn(Events.Kind.NEWS_REFUSED, "a promise by a list of racks that was not told");
+            list = NO_LIST;
+            return;
+        }
         epoch = promised.getEpoch();
         double shorter = (1 - config.racksDrift) / (1 + config.racksDrift);
         Map<Integer, Moment> until = new HashMap<>();
+        if (promised.getRest()) notices.forEach((rack, notice) -> until.put(rack, from.plus(notice.times(shorter))));
+        else keep(promised);
         for (RackFree rack : promised.getRacksList()) {
             until.put(Picture.key(rack.getZone(), rack.getCell()), from.plus(Span.ofMs(rack.getLeftMs() * shorter)));
         }
@@ -104,6 +116,13 @@
         if (first) owner.firstPromise();
     }
 
+    private void keep(Promised whole) {
+        list = whole.getList() == 0 ? NO_LIST : whole.getList();
+        notices = new HashMap<>();
+        if (list == NO_LIST) return;
+        for (RackFree rack : whole.getRacksList()) notices.put(Picture.key(rack.getZone(), rack.getCell()), Span.ofMs(rack.getNoticeMs()));
+    }
+
     /** Now, and when the next rack has to be left. */
     private void look() {
         if (turns != null) turns.cancel();
--- a/src/test/java/sprucerock/freeze/FreezesTest.java
+++ b/src/test/java/sprucerock/freeze/FreezesTest.java
@@ -328,6 +328,11 @@
         }
         assertEquals(freezes.due(now), due, where);
         assertEquals(promises.cleared(now), cleared, where);
-        free.forEach((rack, left) -> assertEquals(promises.promised(rack, now), (long) left, where + ", rack " + rack));
+        Map<String, Long> shorter = promises.shorter(now);
+        free.forEach((rack, left) -> {
+            assertEquals(promises.promised(rack, now), (long) left, where + ", rack " + rack);
+            assertEquals(shorter.getOrDefault(rack, rack.equals("b1") ? 24 * HOUR : NOTICE), left, where + ", rack " + rack);
+            assertEquals(shorter.containsKey(rack), left < (rack.equals("b1") ? 24 * HOUR : NOTICE), where + ", rack " + rack + " is named");
+        });
     }
 }
