Counts of what relays tell each other and what lists cost a relay, with tests of the form

Cause: nothing showed which cost of a relay grows with relays, units, methods or customers.

What grows today is asserted exactly, as a known limit, so that a better form has to change the test; what does not grow is asserted as flat.

--- /dev/null
+++ b/src/test/java/sprucerock/scale/ListsScaleTest.java
@@ -0,0 +1,97 @@
+package sprucerock.scale;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.zip.CRC32;
+import org.testng.annotations.Test;
+import sprucerock.evidence.Board;
+import sprucerock.ledger.Accounts;
+import sprucerock.model.Build;
+import sprucerock.model.Unit;
+import sprucerock.time.Span;
+import sprucerock.wire.v1.Health;
+
+/** What lists cost one relay, counted at several sizes: bytes, messages, readings of the clock; never times. */
+public class ListsScaleTest {
+    private static final int SMALL = 100;
+    private static final int LARGE = 1000;
+
+    @Test
+    public void aChangeCostsTheSameBytesHoweverLongTheListIs() throws Exception {
+        assertEquals(bytesOfAChange(SMALL), bytesOfAChange(LARGE));
+    }
+
+    private static long bytesOfAChange(int units) throws Exception {
+        Listed listed = new Listed(Listed.ROOMY, false).tellsWhole(units);
+        long before = listed.frames.bytesIn;
+        listed.tellsChange(Listed.entry(7, 0, Health.DRAINING));
+        return listed.frames.bytesIn - before;
+    }
+
+    @Test
+    public void aRelayThatStandsIdleReadsTheClockEquallyOftenHoweverLongTheListIs() throws Exception {
+        long small = new Listed(Listed.ROOMY, false).tellsWhole(SMALL).clockReads(1000);
+        long large = new Listed(Listed.ROOMY, false).tellsWhole(LARGE).clockReads(1000);
+        assertEquals(large, small);
+    }
+
+    private static final int LIMIT_UNITS = 24_000;
+
+    /** The default frame holds a whole list of so many units; one of the planned 120,000 cuts the link to the roster. Known limit. */
+    @Test
+    public void aWholeListOverTheFrameLimitCutsTheRoster_isTheKnownLimit() throws Exception {
+        int each = (Listed.whole(2000).getSerializedSize() - Listed.whole(1000).getSerializedSize()) / 1000;
+        int fits = (1 << 20) / each;
+        assertTrue(fits < LIMIT_UNITS, "units that the default frame holds: " + fits);
+        Listed holds = new Listed("units=\"200000\"", false).tellsWhole(fits - 1000);
+        assertTrue(!holds.cut());
+        assertEquals(holds.relay.ledger().units().size(), fits - 1000);
+        Listed over = new Listed("units=\"200000\"", false).tellsWhole(LIMIT_UNITS);
+        assertTrue(over.cut());
+        assertEquals(over.relay.ledger().units().size(), 0);
+    }
+
+    /**
+     * Each method has its latencies by build: 17 rows of 305 accounts, and 390 beside. With 256 methods, the most that a configuration takes, 1.4
+     * million accounts; with 41,000 routes as methods it would be 226 million.
+     */
+    @Test
+    public void accountsGrowWithMethodsTimesBuilds_isTheKnownLimit() {
+        int each = (accounts(32) - accounts(16)) / 16;
+        assertEquals(each, (accounts(256) - accounts(64)) / 192);
+        assertEquals(each, 18 * 305 + 22);
+    }
+
+    private static int accounts(int methods) {
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < methods; i++) names.add("m" + i);
+        return new Accounts(names, new Accounts.Room(16, 1024, 64)).size();
+    }
+
+    /**
+     * Relays name units to each other by 16 bits: units of one name share what is told of either's load. Here with ids as discovery's names
+     * give them, a checksum of the name. At 120,000 units there are 55,161 names for them.
+     */
+    @Test
+    public void unitsShareTheirNamesAmongRelays_isTheKnownLimit() {
+        assertEquals(new int[] {namesOf(1000), namesOf(10_000), namesOf(120_000)}, new int[] {992, 9288, 55_161});
+    }
+
+    private static int namesOf(int units) {
+        Board board = new Board(Span.ofMs(1000));
+        Set<Integer> names = new HashSet<>();
+        for (int i = 0; i < units; i++) {
+            CRC32 crc = new CRC32();
+            crc.update(("unit-" + i).getBytes(StandardCharsets.UTF_8));
+            byte[] told = board.pick(new Unit(crc.getValue(), 0, 0, 0, new Build(1), null, 1), null);
+            names.add(told[1] & 0xff | (told[2] & 0xff) << 8);
+        }
+        return names.size();
+    }
+}
