Racks are looked at by rack, not by unit, twenty times a second

Cause: each look at racks, every 50 ms, copied the list of units and asked each one's rack anew: a cost of 20 readings of the clock a second for each unit listed, whether or not anything turned.

RosterLink keeps the listed units by rack and the verdict that they were told last. A look asks once for each rack and goes through the units of those alone whose verdict has turned, or where a unit was told otherwise since the last look. What units are told stays as it was.

The new test of the walk fails on the code before with 20,050 for 2,050, and passes now; the one of units that leave and come back passes on both.

--- a/src/main/java/sprucerock/relay/RosterLink.java
+++ b/src/main/java/sprucerock/relay/RosterLink.java
@@ -2,16 +2,20 @@
 
 import com.google.protobuf.MessageLite;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import sprucerock.config.Address;
 import sprucerock.config.RelayConfig;
 import sprucerock.ledger.Ledger;
 import sprucerock.model.Unit;
 import sprucerock.net.Net;
 import sprucerock.serving.Events;
+import sprucerock.shared.Picture;
 import sprucerock.stats.Chance;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
@@ -33,6 +37,23 @@
     /** A run of a unit's process, by the roster's number for it, with the one start time that it keeps here. */
     private record Run(long number, Moment started) {}
 
+    /**
+     * The listed units of one rack that may get work if the rack may. They are looked at when its verdict turns, not at each look at racks:
+     * a look is for twenty times a second, and racks are a fraction of the units.
+     */
+    private static final class Rack {
+        private final int zone;
+        private final int cell;
+        private final Map<Long, Entry> ready = new TreeMap<>();
+        /** What the last look found, and every unit has been told; null: some unit may have been told otherwise since. */
+        private Boolean mayPlace;
+
+        Rack(Unit first) {
+            zone = first.zone;
+            cell = first.cell;
+        }
+    }
+
     private final Net net;
     private final RelayConfig config;
     private final Ledger ledger;
@@ -42,8 +63,8 @@
     private final Runnable listFailed;
     private final Redial redial;
     private final Map<Long, Run> runs = new HashMap<>();
-    /** As they were listed last, where they may get work if their racks may. */
-    private final Map<Long, Entry> ready = new HashMap<>();
+    /** By {@link Picture#key}; none is empty. */
+    private final Map<Integer, Rack> rackOf = new TreeMap<>();
     private final Racks racks;
     private final Runnable learnt;
     private boolean listed;
@@ -158,25 +179,50 @@
         boolean moved = sameRun && known.door != null && !((UnitLinks) known.door).at(address, entry.getName());
         if (known != null && (!sameRun || moved)) leave(known);
         if (moved) ledger.removed(known.id);
+        boolean mayPlace = racks.mayPlace(entry.getZone(), entry.getCell());
         Unit unit = ledger.listed(entry.getUnit(), entry.getZone(), entry.getKind(), entry.getCell(), entry.getBuild(),
-            run.started, entry.getWeight(), entry.getHealth() == Health.READY && racks.mayPlace(entry.getZone(), entry.getCell()));
-        if (entry.getHealth() == Health.READY) ready.put(unit.id, entry);
-        else ready.remove(unit.id);
+            run.started, entry.getWeight(), entry.getHealth() == Health.READY && mayPlace);
+        if (known != null && known != unit) forget(known);
+        if (entry.getHealth() == Health.READY) remember(unit, entry, mayPlace);
+        else forget(unit);
         if (unit.door == null) unit.door = new UnitLinks(unit, address, entry.getName(), config, chance, owner);
         if (entry.getHealth() == Health.DRAINING) leave(unit);
     }
 
+    private void remember(Unit unit, Entry entry, boolean mayPlace) {
+        Rack rack = rackOf.computeIfAbsent(Picture.key(unit.zone, unit.cell), any -> new Rack(unit));
+        rack.ready.put(unit.id, entry);
+        if (rack.mayPlace != null && rack.mayPlace != mayPlace) rack.mayPlace = null;
+    }
+
+    private void forget(Unit unit) {
+        int key = Picture.key(unit.zone, unit.cell);
+        Rack rack = rackOf.get(key);
+        if (rack == null) return;
+        rack.ready.remove(unit.id);
+        if (rack.ready.isEmpty()) rackOf.remove(key);
+    }
+
     /** Units of a rack that must be left are told as such that drain, and once it may be used again as listed: the module knows no racks. */
     void racksChanged() {
-        for (Unit unit : ledger.units()) {
-            Entry entry = ready.get(unit.id);
-            if (entry != null && unit.ready() != racks.mayPlace(unit)) take(entry);
+        List<Rack> turned = new ArrayList<>();
+        for (Rack rack : rackOf.values()) {
+            boolean mayPlace = racks.mayPlace(rack.zone, rack.cell);
+            if (rack.mayPlace != null && rack.mayPlace == mayPlace) continue;
+            rack.mayPlace = mayPlace;
+            turned.add(rack);
+        }
+        for (Rack rack : turned) {
+            boolean mayPlace = rack.mayPlace;
+            for (Entry entry : new ArrayList<>(rack.ready.values())) {
+                if (ledger.unit(entry.getUnit()).ready() != mayPlace) take(entry);
+            }
         }
     }
 
     private void removed(Unit unit) {
         runs.remove(unit.id);
-        ready.remove(unit.id);
+        forget(unit);
         ledger.removed(unit.id);
         leave(unit);
     }
--- a/src/test/java/sprucerock/scale/ListsScaleTest.java
+++ b/src/test/java/sprucerock/scale/ListsScaleTest.java
@@ -15,6 +15,7 @@
 import sprucerock.model.Build;
 import sprucerock.model.Unit;
 import sprucerock.time.Span;
+import sprucerock.wire.v1.Entry;
 import sprucerock.wire.v1.Health;
 
 /** What lists cost one relay, counted at several sizes: bytes, messages, readings of the clock; never times. */
@@ -41,6 +42,48 @@
         assertEquals(large, small);
     }
 
+    private static final int RACKS = 10;
+
+    /** So many units in ten racks. */
+    private static Listed racked(int units) throws Exception {
+        Listed listed = new Listed(Listed.ROOMY, true);
+        for (int i = 0; i < units; i += 100) {
+            Entry.Builder[] some = new Entry.Builder[100];
+            for (int j = 0; j < 100; j++) some[j] = Listed.entry(i + j, 0, Health.READY).setCell((i + j) % RACKS).setZone((i + j) % RACKS % 6);
+            listed.tellsChange(some);
+        }
+        listed.promises(1, 60_000, 0, 1);
+        listed.net.pass(100); // the look that follows tells all units
+        return listed;
+    }
+
+    /** Racks are looked at twenty times a second; their units only once a rack's verdict has turned. */
+    @Test
+    public void aLookAtRacksWalksRacksAndNotUnits() throws Exception {
+        assertEquals(racked(LARGE).clockReads(1000), racked(SMALL).clockReads(1000));
+    }
+
+    /** What the walk over all units gave is given by the one over racks. */
+    @Test
+    public void unitsOfARackThatMustBeLeftLeaveAndComeBack() throws Exception {
+        Listed listed = racked(SMALL);
+        assertEquals(ready(listed), 100);
+        listed.net.pass(59_000); // a promise of 60 s, of which the clocks take 0.2% and the longest deadline of 1 s is not used
+        assertEquals(ready(listed), 80);
+        assertTrue(listed.relay.ledger().units().stream().allMatch(unit -> unit.ready() == (unit.cell > 1)));
+        listed.tellsChange(Listed.entry(200, 0, Health.READY).setCell(1).setZone(1), Listed.entry(0, 0, Health.GONE), Listed.entry(10, 0, Health.DRAINING).setCell(0).setZone(0),
+            Listed.entry(20, 5, Health.READY).setCell(0).setZone(0), Listed.entry(3, 0, Health.DRAINING).setCell(3).setZone(3));
+        assertEquals(ready(listed), 79);
+        listed.promises(2, 60_000, 0, 1);
+        listed.net.pass(100);
+        assertEquals(ready(listed), 98); // all but the one that is gone and the two that drain, and a new one
+        assertTrue(listed.relay.ledger().units().stream().allMatch(unit -> unit.ready() == (unit.id != 10 && unit.id != 3)));
+    }
+
+    private static long ready(Listed listed) {
+        return listed.relay.ledger().units().stream().filter(Unit::ready).count();
+    }
+
     private static final int LIMIT_UNITS = 24_000;
 
     /** The default frame holds a whole list of so many units; one of the planned 120,000 cuts the link to the roster. Known limit. */
