--- a/src/test/java/sprucerock/ArchitectureTest.java
+++ b/src/test/java/sprucerock/ArchitectureTest.java
@@ -53,6 +53,8 @@
             {"agent", "time model stats ledger figures change config net net.nio versions wire wire.v1"},
             {"desk", "time lease freeze net net.nio config change compare versions controller controller.v1 wire wire.v1"},
             {"standin", "time stats lease net tls trace wire wire.v1"},
+            {"lab.slope", ""},
+            {"lab.plot", "lab.slope"},
             {"recovery", "trace wire wire.v1"},
             {"rehearsal", "time net net.nio tls trace judge recovery figures ledger desk standin wire wire.v1"},
         };
@@ -90,10 +92,19 @@
             noClasses().that().haveFullyQualifiedName("sprucerock." + core).should().callMethod(System.class, "nanoTime").orShould()
                 .callMethod(System.class, "currentTimeMillis").check(ALL);
         }
+        noClasses().that().resideInAPackage("sprucerock.lab.slope").should().dependOnClassesThat()
+            .resideInAnyPackage("java.io", "java.net", "java.nio..", "java.util.concurrent..", "java.awt..").check(ALL);
         noClasses().that().haveFullyQualifiedName("sprucerock.Policy").should().dependOnClassesThat()
             .resideInAnyPackage("java.io", "java.net", "java.nio..", "sprucerock.net..", "sprucerock.relay..", "sprucerock.sim..").check(ALL);
     }
 
+    /** Each start of serve is paid for: what only plots and fits need is never on its way. */
+    @Test
+    public void serveReachesNothingOfTheLab() {
+        noClasses().that().haveFullyQualifiedName("sprucerock.cli.ServeCommand").should().transitivelyDependOnClassesThat()
+            .resideInAnyPackage("sprucerock.lab..", "org.knowm..", "org.hipparchus.stat..").check(ALL);
+    }
+
     @Test
     public void theRelayKeepsNoPublicFields() {
         fields().that().areDeclaredInClassesThat().resideInAnyPackage("sprucerock.relay", "sprucerock.net..", "sprucerock.wire")
