--- a/src/test/java/sprucerock/lab/slope/SlopeTest.java
+++ b/src/test/java/sprucerock/lab/slope/SlopeTest.java
@@ -69,6 +69,14 @@
         assertFalse(slope.powerChosen());
     }
 
+    /** By hand, in powers of ten: 0, 0, 0, 1 at 0, 1, 2, 3; the lines through the other three give -2/3, 1/7, 4/7 and 0. */
+    @Test
+    public void theErrorIsThatAtASizeLeftOut() {
+        Slope slope = Slope.of(List.of(new Point(1, 1), new Point(10, 1), new Point(100, 1), new Point(1000, 10)));
+        double sum = (1 - Math.pow(10, -2.0 / 3)) + (Math.pow(10, 1.0 / 7) - 1) + (Math.pow(10, 4.0 / 7) - 1) + (1 - 0.1);
+        assertEquals(slope.powerError(), sum / 4, 1e-9);
+    }
+
     /** A second run of a size would tell what its twin gives, if only one of them were left out: the error of both forms would fall. */
     @Test
     public void aSizeIsLeftOutWithAllItsRuns() {
