A vote and an agent's word look at no other relay

Cause: a vote counted all standing votes three times over, and so did the look each 50 ms while a build is on trial. Each word of an agent, and each look, walked all relays for one that had settled; while a version is read through, each that had read it walked them twice more; room in a zone was two walks.

Votes that stand are kept by what they say, the first to run out first, and taken out as they are cast anew, as the release moves and as their time ends. How many relays are heard, of a zone and out, who has settled and who has not read a version yet is kept as relays change (Census).

--- a/src/main/java/sprucerock/change/Changes.java
+++ b/src/main/java/sprucerock/change/Changes.java
@@ -52,6 +52,10 @@
     /** A build of the units is on trial or going back: relays that judge it are not restarted. */
     boolean releasing;
     private long wallMs;
+    // What each word asks of all is kept as relays change; who of those that are heard has not read the proposed version through yet, too.
+    private final Census census = new Census();
+    private final Set<Integer> unread = new HashSet<>();
+    private long looked;
 
     public Changes(Plan plan, Host host) {
         this.plan = plan;
@@ -106,6 +110,36 @@
         return sequence;
     }
 
+    /** Relays that were looked at so far to find what is to be done: what tests of its growth count. */
+    public long looked() {
+        return looked;
+    }
+
+    private Collection<Relay> each() {
+        looked += relays.size();
+        return relays.values();
+    }
+
+    /** All relays and changes are there from a former life. */
+    void known() {
+        for (Relay relay : relays.values()) census.enter(relay);
+        readAnew();
+    }
+
+    private void readAnew() {
+        unread.clear();
+        for (Relay relay : each()) reads(relay);
+    }
+
+    /** Whether it is still to read the proposed version through. */
+    private void reads(Relay relay) {
+        Change proposed = waiting();
+        boolean is = proposed != null && proposed.state == State.PROPOSED && !relay.silent() && !proposed.checked.contains(relay.number)
+            && !proposed.refused.containsKey(relay.number);
+        if (is) unread.add(relay.number);
+        else unread.remove(relay.number);
+    }
+
     public boolean releasing() {
         return releasing;
     }
@@ -148,6 +182,8 @@
             if (relays.size() >= MOST_RELAYS) return;
             relay = new Relay(number);
             relays.put(number, relay);
+        } else {
+            census.leave(relay);
         }
         relay.zone = zone;
         relay.busy = busy;
@@ -155,6 +191,8 @@
         relay.ready = ready;
         relay.silentSince = null;
         relay.done = done;
+        census.enter(relay);
+        reads(relay);
         if (relay.wanted == null && !current.equals(Version.NONE)) want(relay, current, now);
         settle(now);
     }
@@ -164,7 +202,10 @@
         wallMs = wall;
         Relay relay = relays.get(number);
         if (relay == null || relay.silentSince != null) return;
+        census.leave(relay);
         relay.silentSince = now;
+        census.enter(relay);
+        reads(relay);
         settle(now);
     }
 
@@ -197,6 +238,7 @@
         if (waits != null) step(waits, State.GIVEN_UP, waits.stage, "change " + (numbers + 1) + " by " + who + " takes its place", now);
         Change made = new Change(++numbers, who, why, from, to, live, now);
         changes.put(made.number, made);
+        readAnew();
         step(made, State.PROPOSED, 0, "proposed by " + who + ": " + why, now);
         while (changes.size() > MOST_CHANGES && !changes.firstEntry().getValue().state.open()) changes.pollFirstEntry();
         settle(now);
@@ -215,6 +257,7 @@
             proposed.refused.put(number, refusal);
             proposed.checked.remove(number);
         }
+        reads(relays.get(number));
         settle(now);
     }
 
@@ -309,9 +352,13 @@
 
     /** The one thing that is to be done next; each takes its own reason away, so that this ends. */
     private Runnable next(Moment now) {
-        for (Relay relay : relays.values()) {
-            if (relay.readyAt == null && relay.settled()) return () -> relay.readyAt = now;
-        }
+        int settled = census.firstSettled();
+        if (settled >= 0) return () -> {
+            Relay relay = relays.get(settled);
+            census.leave(relay);
+            relay.readyAt = now;
+            census.enter(relay);
+        };
         Change under = under();
         Change waits = waiting();
         Runnable found = under == null ? null : switch (under.state) {
@@ -329,15 +376,11 @@
         int live = live();
         int most = (int) (plan.refused() * live);
         boolean late = now.since(change.since).over(plan.patience());
-        int missing = 0;
-        for (Relay relay : relays.values()) {
-            if (!relay.silent() && !change.checked.contains(relay.number) && !change.refused.containsKey(relay.number)) missing++;
-        }
         if (change.refused.size() > most) {
             Map.Entry<Integer, String> first = change.refused.entrySet().iterator().next();
             return () -> step(change, State.GIVEN_UP, 0, change.refused.size() + " of " + live + " refuse it; relay " + first.getKey() + ": " + first.getValue(), now);
         }
-        int unheard = missing;
+        int unheard = unread.size();
         if (unheard == 0 && live > 0) return () -> step(change, State.CHECKED, 0, change.checked.size() + " of " + live + " can run it", now);
         if (!late) return null;
         if (change.checked.isEmpty() || unheard + change.refused.size() > most) {
@@ -370,6 +413,7 @@
         if (change.held) return patienceOver(change, now);
         boolean still = releasing || !weather.isEmpty();
         for (Integer number : controls) {
+            looked++;
             Relay relay = relays.get(number);
             if (!still && relay.serves() && hasRoom(relay.zone)) return () -> {
                 controls.remove(number);
@@ -380,6 +424,7 @@
         Relay next = still || change.moved.size() >= target(change) ? null : candidate(change);
         if (next != null) return () -> move(change, next, now);
         boolean all = !change.moved.isEmpty() && change.moved.size() >= target(change) && controls.isEmpty();
+        looked += change.moved.size() + change.beside.size();
         for (int number : change.moved) all &= relays.get(number).settled() || relays.get(number).silent();
         for (int number : change.beside.values()) all &= relays.get(number).settled() || relays.get(number).silent();
         if (!all) return patienceOver(change, now);
@@ -389,6 +434,7 @@
     /** Why it can't go on, by what relays that were told do; null where they do well. */
     private String failure(Change change, Moment now) {
         int gone = 0;
+        looked += change.moved.size();
         for (int number : change.moved) {
             Relay relay = relays.get(number);
             if (relay.silent()) gone++;
@@ -397,7 +443,7 @@
             }
         }
         if (gone == 0) return null;
-        long others = relays.values().stream().filter(one -> one.silent() && !change.moved.contains(one.number)).count();
+        long others = each().stream().filter(one -> one.silent() && !change.moved.contains(one.number)).count();
         double usual = others / (double) Math.max(1, relays.size() - change.moved.size());
         // a machine may die by itself; that moved ones do so more often than others is the change's doing
         if (change.stage == 0 || gone > 1 && gone > 3 * usual * change.moved.size()) return gone + " of the relays that were moved are not heard any more";
@@ -419,10 +465,12 @@
 
     private void want(Relay relay, Version version, Moment now) {
         boolean anew = relay.wanted != null;
+        census.leave(relay);
         relay.wanted = version;
         if (anew) relay.turn++;
         relay.toldAt = now;
         relay.readyAt = null;
+        census.enter(relay);
         host.wants(relay);
     }
 
@@ -459,6 +507,7 @@
     /** The newest first; a relay that does not serve anyway needs no room. */
     private Runnable goingBack(Change change, Moment now) {
         boolean all = true;
+        looked += change.moved.size();
         List<Integer> newestFirst = new ArrayList<>(change.moved);
         Collections.reverse(newestFirst);
         for (int number : newestFirst) {
@@ -477,14 +526,12 @@
     // Who, and how many at once.
 
     private int live() {
-        int count = 0;
-        for (Relay relay : relays.values()) if (!relay.silent()) count++;
-        return count;
+        return census.live();
     }
 
     private int target(Change change) {
         int able = 0; // who does not serve is left out, and told at the end
-        for (Relay relay : relays.values()) if (change.moved.contains(relay.number) || relay.serves() && !change.refused.containsKey(relay.number)) able++;
+        for (Relay relay : each()) if (change.moved.contains(relay.number) || relay.serves() && !change.refused.containsKey(relay.number)) able++;
         double share = plan.stages().get(change.stage).share();
         return change.stage == 0 ? 1 : (int) Math.ceil(share * able - 1e-9);
     }
@@ -500,7 +547,7 @@
         Map<Integer, int[]> zones = new HashMap<>();
         Map<Integer, int[]> kinds = new HashMap<>();
         Map<Integer, Boolean> hasRoom = new HashMap<>();
-        for (Relay relay : relays.values()) {
+        for (Relay relay : each()) {
             int moved = change.moved.contains(relay.number) ? 1 : 0;
             zones.computeIfAbsent(relay.zone, zone -> new int[2])[0] += moved;
             zones.get(relay.zone)[1]++;
@@ -510,7 +557,7 @@
         Set<Integer> beside = new HashSet<>(change.beside.values());
         Relay best = null;
         double least = 0;
-        for (Relay relay : relays.values()) {
+        for (Relay relay : each()) {
             boolean may = relay.serves() && !change.moved.contains(relay.number) && !change.refused.containsKey(relay.number);
             if (!may || !hasRoom.computeIfAbsent(relay.zone, this::hasRoom)) continue;
             int[] zone = zones.get(relay.zone);
@@ -530,7 +577,7 @@
     private Relay control(Change change, Relay of) {
         Set<Integer> beside = new HashSet<>(change.beside.values());
         Relay best = null;
-        for (Relay relay : relays.values()) {
+        for (Relay relay : each()) {
             boolean free = relay.serves() && !change.moved.contains(relay.number) && !beside.contains(relay.number) && relay.runs.equals(change.from);
             if (free && (best == null || alike(relay, of) > alike(best, of))) best = relay;
         }
@@ -547,17 +594,11 @@
     }
 
     private int out(int zone) {
-        int count = 0;
-        for (Relay relay : relays.values()) {
-            boolean busyWithIt = relay.wanted != null && !relay.settled();
-            if (relay.zone == zone && (!relay.serves() || busyWithIt)) count++;
-        }
-        return count;
+        return census.out(zone);
     }
 
     private int most(int zone) {
-        int size = 0;
-        for (Relay relay : relays.values()) if (relay.zone == zone) size++;
+        int size = census.size(zone);
         int byPlan = Math.max(1, (int) (plan.out() * size));
         Change under = under();
         boolean back = under != null && under.state == State.GOING_BACK;
--- a/src/main/java/sprucerock/change/Memory.java
+++ b/src/main/java/sprucerock/change/Memory.java
@@ -61,5 +61,6 @@
             one.steps.forEach(change::add);
             all.changes.put(one.number, change);
         }
+        all.known();
     }
 }
--- a/src/main/java/sprucerock/controller/Codec.java
+++ b/src/main/java/sprucerock/controller/Codec.java
@@ -115,7 +115,7 @@
         }
         core.present = core.releases.get(state.getPresent());
         for (Ballot one : state.getBallotsList()) {
-            Releases.Ballot vote = new Releases.Ballot();
+            Releases.Ballot vote = new Releases.Ballot(one.getRelay());
             vote.build = one.getBuild();
             vote.stage = one.getStage();
             vote.say = Releases.Say.valueOf(one.getSay());
@@ -124,6 +124,7 @@
             vote.inSecond = one.getInSecond();
             core.ballots.put(one.getRelay(), vote);
         }
+        core.known();
         for (Delivery one : state.getDeliveriesList()) {
             core.deliveries.put(one.getId(), new Releases.Delivery(one.getId(), Moment.ofMs(one.getAtMs()), Releases.Answer.valueOf(one.getAnswer()), one.getContent()));
         }
--- a/src/main/java/sprucerock/controller/Releases.java
+++ b/src/main/java/sprucerock/controller/Releases.java
@@ -3,11 +3,14 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import sprucerock.controller.Release.Standing;
 import sprucerock.controller.Release.Step;
 import sprucerock.time.Moment;
@@ -55,6 +58,11 @@
         Moment until;
         Moment second;
         int inSecond;
+        private final int relay;
+
+        Ballot(int relay) {
+            this.relay = relay;
+        }
     }
 
     /** A delivery that was answered, so that copies of it have the same answer. */
@@ -78,6 +86,10 @@
     Release present;
     int earlier;
     private long wallMs;
+    // Votes that stand for the present build and stage, the first to run out first: all others are taken out as they are cast anew, as the release
+    // moves and as time passes, so that a vote and a look each 50 ms walk no other vote.
+    private final Map<Say, TreeSet<Ballot>> standing = new EnumMap<>(Say.class);
+    private long looked;
 
     /** {@code places} units make up the fleet; {@code first} serves from the start. */
     public Releases(Rules rules, int places, int first, Moment now, Host host) {
@@ -89,6 +101,7 @@
         present.stage = rules.stages().size() - 1;
         releases.put(first, present);
         earlier = first;
+        for (Say say : Say.values()) standing.put(say, new TreeSet<>(Comparator.<Ballot>comparingDouble(vote -> vote.until.ms()).thenComparingInt(vote -> vote.relay)));
     }
 
     // What is asked.
@@ -163,21 +176,44 @@
 
     /** Relays whose votes of a kind stand for the present build and stage. */
     public List<Integer> standing(Say say, Moment now) {
-        List<Integer> found = new ArrayList<>();
-        ballots.forEach((relay, vote) -> {
-            if (stands(vote, say, now)) found.add(relay);
-        });
-        return found;
+        TreeSet<Integer> found = new TreeSet<>();
+        for (Ballot vote : lasting(say, now)) found.add(vote.relay);
+        return List.copyOf(found);
     }
 
-    private boolean stands(Ballot vote, Say say, Moment now) {
-        return vote.say == say && vote.build == present.build && vote.until.after(now) && (say == Say.BACK || vote.stage == present.stage);
+    private int count(Say say, Moment now) {
+        return lasting(say, now).size();
     }
 
-    private int count(Say say, Moment now) {
-        int count = 0;
-        for (Ballot vote : ballots.values()) if (stands(vote, say, now)) count++;
-        return count;
+    /** Without those whose time is over; time never goes back. */
+    private TreeSet<Ballot> lasting(Say say, Moment now) {
+        TreeSet<Ballot> all = standing.get(say);
+        while (!all.isEmpty()) {
+            looked++;
+            if (all.first().until.after(now)) break;
+            all.pollFirst();
+        }
+        return all;
+    }
+
+    /** Votes of a former life are there, and what they are on. */
+    void known() {
+        standing.values().forEach(TreeSet::clear);
+        for (Ballot vote : ballots.values()) {
+            boolean stands = vote.say != Say.NOTHING && vote.build == present.build && (vote.say == Say.BACK || vote.stage == present.stage);
+            if (stands) standing.get(vote.say).add(vote);
+        }
+    }
+
+    /** They were on what it was. */
+    private void forgetVotes() {
+        ballots.values().forEach(vote -> vote.say = Say.NOTHING);
+        standing.values().forEach(TreeSet::clear);
+    }
+
+    /** Votes that were looked at so far to count them: what tests of its growth count. */
+    public long looked() {
+        return looked;
     }
 
     /** Why the present release stands where it stands, in one line each. */
@@ -258,7 +294,7 @@
         if (next == null || next.standing != Standing.ANNOUNCED) return;
         if (present.standing == Standing.RELEASED) earlier = present.build;
         present = next;
-        ballots.values().forEach(vote -> vote.say = Say.NOTHING);
+        forgetVotes();
         step(next, Standing.STARTING, 0, "nothing is in its way", now);
     }
 
@@ -268,7 +304,7 @@
         Ballot vote = ballots.get(relay);
         if (vote == null) {
             if (ballots.size() >= MOST_RELAYS) return Taken.TOO_MANY;
-            vote = new Ballot();
+            vote = new Ballot(relay);
             ballots.put(relay, vote);
         }
         if (vote.second == null || now.since(vote.second).ms() >= 1000) {
@@ -286,10 +322,12 @@
         };
         if (!fits) return Taken.MOOT;
         if (clocked && trial) countHeld(now);
+        if (vote.until != null) standing.get(vote.say).remove(vote);
         vote.build = build;
         vote.stage = stage;
         vote.say = say;
         vote.until = now.plus(rules.voteLife());
+        if (say != Say.NOTHING) standing.get(say).add(vote);
         settle(now);
         return Taken.COUNTS;
     }
@@ -359,7 +397,7 @@
     public void restarted(long downMs, Moment now, long wall) {
         wallMs = wall;
         epoch++;
-        if (downMs < 0) ballots.values().forEach(vote -> vote.say = Say.NOTHING);
+        if (downMs < 0) forgetVotes();
         if (downMs > 0 && present.clock != null) present.heldFor = present.heldFor.plus(Span.ofMs(downMs));
         if (downMs > 0 && present.standing == Standing.STARTING) present.since = present.since.plus(Span.ofMs(downMs));
         settle(now);
@@ -448,7 +486,7 @@
             release.heldFor = Span.ZERO;
             release.clockStopped = now;
             release.clockRan = true;
-            if (release == present) ballots.values().forEach(vote -> vote.say = Say.NOTHING); // they were on what it was
+            if (release == present) forgetVotes();
         }
         Step step = new Step(++sequence, now, wallMs, to, stage, cause);
         release.add(step);
--- /dev/null
+++ b/src/test/java/sprucerock/scale/ControllerScaleTest.java
@@ -0,0 +1,151 @@
+package sprucerock.scale;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import org.testng.annotations.Test;
+import sprucerock.change.Change;
+import sprucerock.change.Changes;
+import sprucerock.change.Plan;
+import sprucerock.change.Relay;
+import sprucerock.change.Verdict;
+import sprucerock.change.Version;
+import sprucerock.controller.Release;
+import sprucerock.controller.Releases;
+import sprucerock.controller.Rules;
+import sprucerock.time.Moment;
+import sprucerock.time.Span;
+
+/** What one word of an agent, one vote of a relay and one look of the controller cost, against the number of relays. */
+public class ControllerScaleTest {
+    private static final Version OLD = new Version("a".repeat(64), "0".repeat(64));
+    private static final Version NEW = new Version("b".repeat(64), "0".repeat(64));
+    private static final Plan PLAN = new Plan(List.of(new Plan.Stage(0.05, 0.1), new Plan.Stage(0.25, 0.05), new Plan.Stage(1, 0.01)), Span.ofMs(10_000), Span.ofMs(120_000),
+        Span.ofMs(20_000), 0.2, 0.1, Span.ofMs(5000));
+
+    /** So many relays in three zones that run the old version, settled on it, whose agents do what is wanted. */
+    private static final class Fleet implements Changes.Host {
+        private final Changes changes = new Changes(PLAN, this);
+        private final ArrayDeque<Relay> wants = new ArrayDeque<>();
+        private double now = 1000;
+        private long words;
+
+        Fleet(int relays) {
+            for (int i = 0; i < relays; i++) says(i, OLD, true, 0);
+        }
+
+        Moment at() {
+            return Moment.ofMs(now);
+        }
+
+        void says(int number, Version runs, boolean ready, int done) {
+            words++;
+            changes.says(number, number % 3, number % 5 == 0, runs, ready, done, at(), 0);
+        }
+
+        Change propose() {
+            assertNull(changes.propose("eve", "a faster reader", NEW, false, at(), 0));
+            return changes.waiting();
+        }
+
+        void read(Change change) {
+            for (int i = 0; i < changes.relays().size(); i++) changes.checked(i, change.number, "", at(), 0);
+        }
+
+        void obey() {
+            while (!wants.isEmpty()) {
+                Relay next = wants.poll();
+                now += 1;
+                says(next.number, next.wanted(), false, next.turn());
+                says(next.number, next.wanted(), true, next.turn());
+            }
+        }
+
+        @Override
+        public void changed(Change change, Change.Step step) {
+            // not counted
+        }
+
+        @Override
+        public void wants(Relay relay) {
+            wants.add(relay);
+        }
+    }
+
+    @Test
+    public void aWordOfAnAgentLooksAtNoOtherRelay() {
+        Counted.at("an agent's word, nothing under way", relays -> {
+            Fleet fleet = new Fleet(relays);
+            long before = fleet.changes.looked();
+            for (int i = 0; i < relays; i++) fleet.says(i, OLD, i % 2 == 0, 0);
+            return (fleet.changes.looked() - before) / (double) relays;
+        }, 100, 200, 400).isFlat(1.2, 10);
+    }
+
+    /** Each 50 ms. */
+    @Test
+    public void timeThatPassesLooksAtNoRelay() {
+        Counted.at("a look whether a change is due", relays -> {
+            Fleet fleet = new Fleet(relays);
+            long before = fleet.changes.looked();
+            for (int i = 0; i < 20; i++) fleet.changes.due(Moment.ofMs(2000 + i * 50));
+            return (fleet.changes.looked() - before) / 20.0;
+        }, 100, 200, 400).isFlat(1.2, 2);
+    }
+
+    @Test
+    public void thatAnAgentHasReadAVersionLooksAtNoOtherRelay() {
+        Counted.at("an agent that has read it", relays -> {
+            Fleet fleet = new Fleet(relays);
+            Change change = fleet.propose();
+            long before = fleet.changes.looked();
+            for (int i = 0; i < relays - 1; i++) fleet.changes.checked(i, change.number, "", fleet.at(), 0);
+            assertEquals(change.state(), Change.State.PROPOSED);
+            return (fleet.changes.looked() - before) / (double) relays;
+        }, 100, 200, 400).isFlat(1.2, 10);
+    }
+
+    /**
+     * All that is looked at from the first relay that is moved to the last, for each word that agents said meanwhile. Who is next is still found by
+     * walking all relays some times: a cost that this holds to its slope.
+     */
+    @Test
+    public void aWordWhileAChangeIsOnItsWayGrowsNoFasterThanTheFleet() {
+        Counted.at("an agent's word while a change moves", relays -> {
+            Fleet fleet = new Fleet(relays);
+            Change change = fleet.propose();
+            long before = fleet.changes.looked();
+            long words = fleet.words;
+            fleet.read(change);
+            for (int i = 0; i < 20 && change.state() != Change.State.DONE; i++) {
+                fleet.obey();
+                fleet.changes.judged(change.number, change.stage(), Verdict.NO_WORSE, "alike", fleet.at(), 0);
+                fleet.now += 11_000;
+                fleet.changes.tick(fleet.at(), 0);
+            }
+            assertEquals(change.state(), Change.State.DONE);
+            return (fleet.changes.looked() - before) / (double) (fleet.words - words);
+        }, 100, 200, 400).growsAsTheSize(1.05);
+    }
+
+    @Test
+    public void aVoteLooksAtNoOtherRelaysVote() {
+        Counted.at("a vote", relays -> {
+            Rules rules = new Rules(List.of(new Rules.Stage(0.1, 0.12), new Rules.Stage(1, 1)), Rules.Control.MAJORITY, relays + 1, relays + 1, relays + 1, Span.ofMs(1000), Span.ofMs(60_000),
+                Span.ofMs(1000), Span.ofMs(600_000), Span.ofMs(1000), Span.ofMs(60_000), 10);
+            Releases releases = new Releases(rules, 10, 1, Moment.ofMs(0), (release, step) -> { });
+            releases.announced("m1", 2, "a2", "ci", Moment.ofMs(10), 10);
+            releases.ready(2, 10, Moment.ofMs(20), 20);
+            assertEquals(releases.present().standing(), Release.Standing.ON_TRIAL);
+            for (int i = 0; i < relays; i++) releases.cast(i, 2, 0, Releases.Say.ON, Moment.ofMs(1500), 1500);
+            long before = releases.looked();
+            for (int i = 0; i < relays; i++) {
+                releases.cast(i, 2, 0, i % 2 == 0 ? Releases.Say.ON : Releases.Say.BACK, Moment.ofMs(3000 + i), 3000);
+                releases.due(Moment.ofMs(3000 + i));
+            }
+            return (releases.looked() - before) / (double) relays;
+        }, 100, 200, 400).isFlat(1.2, 10);
+    }
+}
