--- a/src/test/java/sprucerock/scale/ControllerScaleTest.java
+++ b/src/test/java/sprucerock/scale/ControllerScaleTest.java
@@ -2,9 +2,12 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
 
+import com.google.protobuf.MessageLite;
 import java.util.ArrayDeque;
 import java.util.List;
+import java.util.Locale;
 import org.testng.annotations.Test;
 import sprucerock.change.Change;
 import sprucerock.change.Changes;
@@ -17,6 +20,17 @@
 import sprucerock.controller.Rules;
 import sprucerock.time.Moment;
 import sprucerock.time.Span;
+import sprucerock.wire.v1.AgentSays;
+import sprucerock.wire.v1.News;
+import sprucerock.wire.v1.Piece;
+import sprucerock.wire.v1.PromiseAsk;
+import sprucerock.wire.v1.RelaySums;
+import sprucerock.wire.v1.Say;
+import sprucerock.wire.v1.Stand;
+import sprucerock.wire.v1.Taken;
+import sprucerock.wire.v1.Vote;
+import sprucerock.wire.v1.Voted;
+import sprucerock.wire.v1.Wants;
 
 /** What one word of an agent, one vote of a relay and one look of the controller cost, against the number of relays. */
 public class ControllerScaleTest {
@@ -148,4 +162,54 @@
             return (releases.looked() - before) / (double) relays;
         }, 100, 200, 400).isFlat(1.2, 10);
     }
+
+    /**
+     * One change at a time, each watched in every stage: so many a day there can be at most, were every relay restarted in no time at all. It does not
+     * hang on the fleet's size; room does, which bounds how many are out at once.
+     */
+    @Test
+    public void changesOfADayAreBoundedByTheirWatch() {
+        double[] each = new double[2];
+        int[] sizes = {100, 400};
+        for (int i = 0; i < 2; i++) {
+            Fleet fleet = new Fleet(sizes[i]);
+            Change change = fleet.propose();
+            fleet.read(change);
+            double from = fleet.now;
+            while (change.state() != Change.State.DONE) {
+                double before = fleet.now;
+                fleet.obey();
+                fleet.now = before; // as if nobody took any time
+                fleet.changes.judged(change.number, change.stage(), Verdict.NO_WORSE, "alike", fleet.at(), 0);
+                fleet.now += 1000;
+                fleet.changes.tick(fleet.at(), 0);
+            }
+            each[i] = 86_400_000 / (fleet.now - from);
+            System.out.printf(Locale.ROOT, "counted: changes a day, three stages watched for 10 s each: at %d %.0f%n", sizes[i], each[i]);
+        }
+        assertEquals(each[0], each[1], 0.01 * each[0]);
+        assertTrue(each[0] <= 86_400 / 30.0 && each[0] >= 86_400 / 40.0, each[0] + " a day");
+    }
+
+    /** Frames as they go out, eight bytes of frame with each; none of them holds anything of other relays. */
+    @Test
+    public void whatOneRelayOrAgentIsToldIsSmall() {
+        String digest = "a".repeat(64);
+        told("news", 60, News.newBuilder().setBuild(60_000).setStage(3).setStanding(Stand.ON_TRIAL).setCap(0.12).setLastedUs(86_400_000_000L).setEpoch(1000).setSequence(1_000_000).build());
+        told("vote", 20, Vote.newBuilder().setId(1_000_000).setBuild(60_000).setStage(3).setSay(Say.BACK).build());
+        told("vote's answer", 20, Voted.newBuilder().setId(1_000_000).setTaken(Taken.COUNTS).build());
+        told("ask for promises", 30, PromiseAsk.newBuilder().setId(1_000_000).setHolds(1_000_000).setList(-1).build());
+        told("wants", 310, Wants.newBuilder().setEpoch(1000).setTurn(1000).setProgram(digest).setSettings(digest).setChange(30_000).setCheckProgram(digest).setCheckSettings(digest).build());
+        RelaySums sums = RelaySums.newBuilder().setRpcs(1e9).setWorth(1e9).setInTime(1e9).setRefused(1).setAborted(1).setLost(1).setAnswered(1e9).setAnsweredMs(1e9).setWorkMs(1e9).setMemoryMb(99)
+            .setConnections(99).setMessages(1e9).build();
+        told("agent's word", 300, AgentSays.newBuilder().setZone(1).setProgram(digest).setSettings(digest).setReady(true).setDone(1000).setEpoch(1000).setLife(-1L).setStarts(10).setCores(0.5)
+            .setSums(sums).build());
+        told("head of a piece", 100, Piece.newBuilder().setDigest(digest).setFrom(1 << 24).setSize(1 << 25).build());
+    }
+
+    private static void told(String what, int most, MessageLite message) {
+        int bytes = 8 + message.getSerializedSize();
+        System.out.println("counted: bytes of " + what + ": " + bytes);
+        assertTrue(bytes <= most, what + " has " + bytes + " bytes");
+    }
 }
