An attempt is written at its turn's end, unless its client has gone or its time is over

Cause: a statement was put on its connection as the attempt was chosen. Whatever came behind that in the same turn found it there: the client's close (where settings bar cancelling, or the attempt is compared with a copy, so that nobody cancels it), the end of its time, a second copy of the connection's last answer, which was taken for its own. And it told the time that was left as the turn began: a loop that stood still told the unit as much too much.

Change: UnitLink.send places the attempt, UnitLink.write writes it at the turn's end by the clock read anew, or ends it as moot; what comes on a connection before its statement left was not asked for. Nothing else of the pool changes.

Result: ClientCrossingsTest, on real sockets with the loop held. Open: time that a request lies read while the loop stands still between two turns is not counted.

--- a/src/main/java/sprucerock/platform/UnitDoor.java
+++ b/src/main/java/sprucerock/platform/UnitDoor.java
@@ -31,8 +31,12 @@
         this.doors = doors;
     }
 
-    Moment now() {
-        return doors.now();
+    Moment clock() {
+        return doors.clock();
+    }
+
+    void later(Runnable what) {
+        doors.later(what);
     }
 
     void send(PgExchange exchange) {
--- a/src/main/java/sprucerock/platform/UnitDoors.java
+++ b/src/main/java/sprucerock/platform/UnitDoors.java
@@ -78,6 +78,10 @@
         return net.heardUpTo();
     }
 
+    void later(Runnable what) {
+        net.atTurnsEnd(what);
+    }
+
     Timer patiently(Span time, Runnable what) {
         return net.patiently(time, what);
     }
--- a/src/main/java/sprucerock/platform/UnitLink.java
+++ b/src/main/java/sprucerock/platform/UnitLink.java
@@ -23,6 +23,7 @@
     private static final int MESSAGE = 68 * 1024; // a value of 64 KiB, and what goes with it
     private static final Span READY = Span.ofMs(1000); // readiness comes right behind an answer
     private static final Span QUIET = Span.ofMs(10); // what came behind an answer by then shows that the connection is spoilt
+    private static final long NOT_WRITTEN = Long.MAX_VALUE;
     private static final byte[] STARTUP = Writer.startup("svc", "main");
 
     private final UnitDoor door;
@@ -74,9 +75,28 @@
         exchange = next;
         next.link = this;
         at = At.ASKED;
-        link.append(Writer.query(next.statement().within(next.ends().since(door.now()).ms())));
-        mark = link.written();
-        door.written(next);
+        mark = NOT_WRITTEN;
+        door.later(() -> write(next));
+    }
+
+    /**
+     * At the end of the turn, by the clock read anew. Guards against a turn that takes long: its statement would tell the unit more
+     * time than is left to the client, or would leave though its client's close, its answer or its own end came meanwhile.
+     */
+    private void write(PgExchange next) {
+        if (closed || exchange != next) return;
+        Moment clock = door.clock();
+        if (next.mayStart(clock) && next.ends().after(clock)) {
+            link.append(Writer.query(next.statement().within(next.ends().since(clock).ms())));
+            mark = link.written();
+            door.written(next);
+            return;
+        }
+        exchange = null;
+        next.link = null;
+        at = At.IDLE;
+        door.endsSoon(next, Outcome.MOOT);
+        door.idle(this);
     }
 
     @Override
@@ -90,7 +110,7 @@
         try {
             in.take(bytes, this);
             if (closed) return;
-            if ((at == At.IDLE || at == At.SETTLING) && in.partial()) throw new ProtocolException("something that was not asked for");
+            if ((at == At.IDLE || at == At.SETTLING || unsent()) && in.partial()) throw new ProtocolException("something that was not asked for");
             if ((at == At.SERVED || at == At.FAILED) && leaves == null) leaves = door.within(READY, () -> cut("not ready again"));
             if (becameReady) ready();
         } catch (ProtocolException e) {
@@ -123,6 +143,8 @@
         switch (at) {
             case STARTING -> starting(type, body);
             case ASKED -> {
+                // guards against a second copy of the answer before, which comes in the turn in which the connection was chosen
+                if (unsent()) throw new ProtocolException("something that was not asked for");
                 if (type == 'T') {
                     Reader.oneColumn(body);
                     column = body;
--- a/src/test/java/sprucerock/platform/Peers.java
+++ b/src/test/java/sprucerock/platform/Peers.java
@@ -199,12 +199,16 @@
         final ServerSocket server = listen();
         final BlockingQueue<Connection> accepted = new LinkedBlockingQueue<>();
         final BlockingQueue<Query> asked = new LinkedBlockingQueue<>();
+        /** All that were ever made, and the texts of all statements that came whole. */
+        final List<Connection> connections = Collections.synchronizedList(new ArrayList<>());
+        final List<String> seen = Collections.synchronizedList(new ArrayList<>());
         volatile boolean holdsWelcomes;
 
         Unit() throws IOException {
             aside("unit", () -> {
                 while (true) {
                     Connection made = new Connection(server.accept());
+                    connections.add(made);
                     aside("unit's connection", made::read);
                 }
             });
@@ -239,7 +243,10 @@
                     while (true) {
                         int type = in.readByte();
                         byte[] body = in.readNBytes(in.readInt() - 4);
-                        if (type == 'Q') asked.add(new Query(this, new String(body, 0, body.length - 1, StandardCharsets.US_ASCII)));
+                        if (type != 'Q') continue;
+                        String text = new String(body, 0, body.length - 1, StandardCharsets.US_ASCII);
+                        seen.add(text);
+                        asked.add(new Query(this, text));
                     }
                 } finally {
                     closed.countDown();
@@ -276,12 +283,21 @@
 
         /** {@code room}: bytes that the system keeps for it unread; 0: what it does by itself. */
         Client(int port, int room) throws IOException {
+            this(port, room, Writer.startup("svc", "main"));
+        }
+
+        /** One that begins with these bytes. */
+        Client(int port, byte[] begins) throws IOException {
+            this(port, 0, begins);
+        }
+
+        private Client(int port, int room, byte[] begins) throws IOException {
             if (room > 0) socket.setReceiveBufferSize(room);
             socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
             socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LONG));
             open.add(socket);
             in = new DataInputStream(socket.getInputStream());
-            sends(Writer.startup("svc", "main"));
+            sends(begins);
         }
 
         /** Reads its welcome. */
