The listener's patience runs by what was heard, also where the loop stood still

Cause: a loop that stood still for over 2 s between two turns looked first at who takes too long, and ended with 08P01 those whose last piece, or first statement, had been read meanwhile and lay behind that look. Such a request had come whole, and was failed.

Change: ClientLink.look measures up to ClientDoor.heardUpTo.

--- a/src/main/java/sprucerock/platform/ClientDoor.java
+++ b/src/main/java/sprucerock/platform/ClientDoor.java
@@ -106,6 +106,10 @@
         return net.now();
     }
 
+    Moment heardUpTo() {
+        return net.heardUpTo();
+    }
+
     void later(Runnable what) {
         net.atTurnsEnd(what);
     }
--- a/src/main/java/sprucerock/platform/ClientLink.java
+++ b/src/main/java/sprucerock/platform/ClientLink.java
@@ -238,10 +238,13 @@
         else end("53300", "too many connections");
     }
 
-    /** Ends it if it says nothing, or stays within a message, for too long. */
+    /**
+     * Ends it if it says nothing, or stays within a message, for too long. Guards against a loop that stood still, and takes for
+     * silence what it has not heard yet.
+     */
     void look(Span patience) {
-        Moment now = door.now();
-        if (!asked && open == null && now.since(cameAt).over(patience)) end("08P01", "nothing was asked for " + patience.ms() + " ms");
-        else if (partialSince != null && now.since(partialSince).over(patience)) end("08P01", "a message was begun and not ended for " + patience.ms() + " ms");
+        Moment heard = door.heardUpTo();
+        if (!asked && open == null && heard.since(cameAt).over(patience)) end("08P01", "nothing was asked for " + patience.ms() + " ms");
+        else if (partialSince != null && heard.since(partialSince).over(patience)) end("08P01", "a message was begun and not ended for " + patience.ms() + " ms");
     }
 }
--- a/src/test/java/sprucerock/platform/ClientCrossingsTest.java
+++ b/src/test/java/sprucerock/platform/ClientCrossingsTest.java
@@ -687,6 +687,39 @@
         assertEquals(times(id(text)), 0);
     }
 
+    /** Guards against a statement whose last piece lies there as a loop that stood still looks at who takes too long over a message. */
+    @Test
+    public void theLoopStandsStillWhileTheRestOfAStatementComes() throws Exception {
+        startsWithOne();
+        Peers.Client client = client();
+        byte[] query = Writer.query(look().getBytes(StandardCharsets.US_ASCII));
+        client.sends(Arrays.copyOf(query, query.length - 1));
+        Peers.read(client.socket);
+        marker.asks("");
+        assertEquals(marker.answer(), ""); // acted on
+        CountDownLatch go = holdBetweenTurns();
+        client.sends(Arrays.copyOfRange(query, query.length - 1, query.length));
+        Peers.read(client.socket);
+        TimeUnit.MILLISECONDS.sleep(2500); // past the patience of two seconds: no longer a wait can make this pass wrongly
+        go.countDown();
+        one.query().on().says(Peers.value("whole"));
+        assertEquals(client.answer(), "value whole");
+    }
+
+    /** The same with one that came and asked while the loop stood still. */
+    @Test
+    public void theLoopStandsStillWhileTheFirstStatementOfAConnectionComes() throws Exception {
+        startsWithOne();
+        Peers.Client client = peers.new Client(port).welcomed();
+        CountDownLatch go = holdBetweenTurns();
+        client.asks(look());
+        Peers.read(client.socket);
+        TimeUnit.MILLISECONDS.sleep(2500);
+        go.countDown();
+        one.query().on().says(Peers.value("first"));
+        assertEquals(client.answer(), "value first");
+    }
+
     // Shutdown.
 
     @DataProvider
--- a/src/test/java/sprucerock/platform/PlatformTest.java
+++ b/src/test/java/sprucerock/platform/PlatformTest.java
@@ -360,6 +360,21 @@
         assertTrue(half.closed);
     }
 
+    /** "The time of a request counts from its last byte": it does not run out between two pieces, however short. */
+    @Test
+    public void theTimeOfAStatementInPiecesCountsFromItsLastByte() {
+        Client client = new Client().started();
+        byte[] query = Writer.query(look(500).getBytes(StandardCharsets.US_ASCII));
+        client.sends(Arrays.copyOf(query, query.length - 1));
+        net.pass(600);
+        assertTrue(asked.isEmpty());
+        client.sends(Arrays.copyOfRange(query, query.length - 1, query.length));
+        assertTrue(last().query.contains(",d=500 "), last().query);
+        net.pass(400);
+        last().says(value("whole"));
+        assertEquals(client.got, served("whole"));
+    }
+
     @Test
     public void silentConnectionsGiveWayWhenAllPlacesAreTaken() {
         List<Client> silent = new ArrayList<>();
