Who of the agents is away is found at the front of a line, not by a walk

Cause: twice a second the controller walked all relays, with a map of boxed moments beside them, for those whose agent is neither linked nor heard.

Agents that are not linked stand in the order in which they were heard last; a look ends at the first that has not been away for too long. One whose silence could not be recorded is looked at again; one that is noted, or back, leaves. After a start all that are known stand there as if just heard, as before.

Counted by AbsentTest: a look that finds 3 silent ones of 100, 400, 1600 looks at 4, 4, 4 entries; before, at each relay. AgentsDoorTest (links on loopback): one that goes, one that is replaced under its number, one that never comes back after a restart.

--- a/src/main/java/sprucerock/desk/AgentsDoor.java
+++ b/src/main/java/sprucerock/desk/AgentsDoor.java
@@ -64,9 +64,8 @@
     private final Vault vault;
     private final Watcher watch;
     private final TreeMap<Integer, Session> sessions = new TreeMap<>();
-    private final TreeMap<Integer, Moment> heard = new TreeMap<>();
+    private final Absent absent = new Absent();
     private final Deque<Waiting> fetches = new ArrayDeque<>();
-    private final Moment started;
     private Net.Listener listener;
 
     AgentsDoor(Net net, DeskConfig config, Tap tap, Desk desk, Vault vault) {
@@ -77,7 +76,7 @@
         this.vault = vault;
         limits = new Limits(1 << 20, 4L << 20, Span.ofMs(1000));
         watch = new Watcher(changes(), this);
-        started = net.now();
+        for (Relay relay : changes().relays()) absent.left(relay.number, net.now()); // a start: they have as long to come as if they had just been heard
     }
 
     private Changes changes() {
@@ -108,12 +107,10 @@
 
     /** Who is not heard any more; and, after a start of the controller, who was not heard at all. */
     private void look() {
-        for (Relay relay : changes().relays()) {
-            boolean here = sessions.containsKey(relay.number);
-            Moment last = heard.getOrDefault(relay.number, started);
-            if (!relay.silent() && !here && net.now().since(last).over(config.plan.silent())) {
-                desk.submit(Input.newBuilder().setSilent(Silent.newBuilder().setRelay(relay.number)), outcome -> { });
-            }
+        for (int number : absent.longer(config.plan.silent(), net.now())) {
+            Relay relay = changes().relay(number);
+            if (relay == null || relay.silent()) absent.back(number);
+            else desk.submit(Input.newBuilder().setSilent(Silent.newBuilder().setRelay(number)), outcome -> { }); // refused: again with the next look
         }
         net.at(net.now().plus(LOOK), this::look);
     }
@@ -167,6 +164,7 @@
     private final class Session implements FrameUser {
         private FrameLink link;
         private int number;
+        private Moment heard;
         private AgentSays last;
 
         @Override
@@ -178,7 +176,8 @@
             number = other.getNumber();
             Session before = sessions.put(number, this);
             if (before != null) before.link.cut("another agent came under number " + number);
-            heard.put(number, net.now());
+            heard = net.now();
+            absent.back(number);
         }
 
         void tell(Relay relay) {
@@ -195,7 +194,7 @@
 
         @Override
         public void frame(Kind kind, MessageLite head, byte[] body) {
-            heard.put(number, net.now());
+            heard = net.now();
             if (kind == Kind.AGENT) {
                 says((AgentSays) head);
             } else if (kind == Kind.FETCH) {
@@ -255,7 +254,7 @@
 
         @Override
         public void closed(String why) {
-            sessions.remove(number, this);
+            if (sessions.remove(number, this)) absent.left(number, heard);
         }
     }
 
