List crossings: a cold unit's start, rows in the table, a hold behind a hold

An older whole list that is kept aside waits its 500 ms patiently: a loop that stood still has not read yet what follows it. Two tests of a restarted unit that an older list or the old watch has as it was.

--- a/src/main/java/sprucerock/platform/Discovery.java
+++ b/src/main/java/sprucerock/platform/Discovery.java
@@ -192,7 +192,7 @@
                     return;
                 }
                 older = new LinkedHashMap<>();
-                net.at(net.now().plus(BEHIND), this::holds);
+                net.patiently(BEHIND, this::holds); // what it says meanwhile may not be read yet
             }
             if (full) older.clear();
             for (JsonNode entry : listing.get("servers")) {
--- a/src/test/java/sprucerock/platform/ListCrossingsTest.java
+++ b/src/test/java/sprucerock/platform/ListCrossingsTest.java
@@ -119,6 +119,11 @@
 
     /** The loop's thread stands still from now on until it is let go: what comes meanwhile is met in one turn, in its order. */
     private CountDownLatch hold() throws InterruptedException {
+        return hold(new CountDownLatch(0));
+    }
+
+    /** The same, behind what was met during the hold before, which ends with {@code before}. */
+    private CountDownLatch hold(CountDownLatch before) throws InterruptedException {
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
         loop.post(() -> {
@@ -129,6 +134,7 @@
                 throw new IllegalStateException(e);
             }
         });
+        before.countDown();
         Peers.await(held, "the loop");
         return go;
     }
@@ -265,10 +271,12 @@
         watch.list(5, false, drains(one));
         Peers.read(watch.socket);
         ask(between);
-        go.countDown();
-        Peers.Unit.Query first = two.query();
+        Peers.read(between.get(ASKED - 1).socket);
+        go = hold(go); // the other half comes behind these
         next.chunk(list.substring(50));
-        served(between, two, first);
+        Peers.read(next.socket);
+        go.countDown();
+        served(between, two);
         Peers.await(watch.closed, "the end of the old watch, as the new address has told its list");
         next.list(5, false, drains(one));
         Peers.read(next.socket);
@@ -366,6 +374,44 @@
         allGoTo(two);
     }
 
+    // A unit that was restarted, and is cold.
+
+    private String restarted(Peers.Unit unit) {
+        return serves(unit).replace("\"started_ms\":0", "\"started_ms\":" + System.currentTimeMillis());
+    }
+
+    /** Told of a start by one watch, the relay gives a cold unit nothing in that moment, though an older list has it as it was. */
+    @Test
+    public void anOlderWholeListDoesNotMakeAColdUnitWarm() throws Exception {
+        Peers.Agent.Call next = moves();
+        begins(next);
+        List<Peers.Client> clients = some();
+        CountDownLatch go = hold();
+        watch.list(5, false, restarted(one));
+        Peers.read(watch.socket);
+        next.list(4, true, serves(one), serves(two));
+        Peers.read(next.socket);
+        ask(clients);
+        go.countDown();
+        served(clients, two);
+    }
+
+    /** The other order: the new address tells of the start, and nobody hears the old watch, which has it as it was. */
+    @Test
+    public void anOldWatchDoesNotMakeAColdUnitWarm() throws Exception {
+        Peers.Agent.Call next = moves();
+        begins(next);
+        List<Peers.Client> clients = some();
+        CountDownLatch go = hold();
+        next.list(5, true, restarted(one), serves(two));
+        Peers.read(next.socket);
+        watch.list(6, true, serves(one), serves(two));
+        Peers.read(watch.socket);
+        ask(clients);
+        go.countDown();
+        served(clients, two);
+    }
+
     // Silence behind half a list.
 
     private String half() {
