A list test's clients come after the silence, not before it

theOtherHalfComesBeforeTheSuccessorTells failed twice by itself in a fresh process, and passed in three runs of the class: its clients were welcomed, then sat through the second of silence on a slow machine. That they were then ended for saying nothing is the likely cause, not shown. They come once the successor is there; it passed so, once by itself.

--- a/src/test/java/sprucerock/platform/ListCrossingsTest.java
+++ b/src/test/java/sprucerock/platform/ListCrossingsTest.java
@@ -432,10 +432,10 @@
     /** The silent one tells the other half before its successor has told: it is whole, and holds. */
     @Test
     public void theOtherHalfComesBeforeTheSuccessorTells() throws Exception {
-        List<Peers.Client> between = some();
         watch.chunk(half());
         Peers.Agent.Call successor = discovery.call();
         begins(successor);
+        List<Peers.Client> between = some();
         String list = list(6, false, serves(one));
         CountDownLatch go = hold();
         successor.chunk(list.substring(0, 30));
