lab scale: hollow relays and agents on the real cores, beside a real controller

Cause: what a part costs at the planned size could only be reckoned; relays and agents run one a process, so that no more than some dozens fit a machine.

The change: a room `lab` with a command that starts a controller with its store, three granters and hollow processes, a thousand relays and agents each on one loop. A hollow relay is relay.DeskLink, relay.Racks, the ledger and lease.Leases; a hollow agent is agent.Station and agent.Agent. For that DeskLink and Racks are public, Station works on a Place (its machine) that can be another one than Here, shares configuration, vault and loop with others, and FrameLink tells a frame's size. Units are counted in the racks; lists (roster) have no hollow side yet, nor are there real relays beside.

--- a/src/main/java/sprucerock/agent/Here.java
+++ b/src/main/java/sprucerock/agent/Here.java
@@ -33,7 +33,7 @@
  * This machine: the relay's process, its files, what it may hold. All is called on the agent's loop; a thread for each process reads
  * its lines and waits for its end, and tells the loop.
  */
-final class Here implements Machine {
+final class Here implements Place {
     private static final String MEMORY = "agent.state";
     private static final String PID = "relay.pid";
     private static final String MARK = "-Dsprucerock.kept="; // folder, program, settings, turn: a running relay tells who keeps it
@@ -56,13 +56,6 @@
     private ProcessHandle process;
     private RelayConfig settings;
 
-    /** What a fetch is asked of. */
-    interface Consumers {
-        void fetch(Version version);
-
-        void readThrough(Version version, String refusal);
-    }
-
     Here(AgentConfig config, NioLoop loop, Vault vault, Runnable says, BiConsumer<Version, String> fails, Consumers consumers) {
         this.config = config;
         this.loop = loop;
@@ -72,7 +65,8 @@
         this.consumers = consumers;
     }
 
-    void serves(Agent made) {
+    @Override
+    public void serves(Agent made) {
         agent = made;
     }
 
@@ -233,7 +227,8 @@
     }
 
     /** The relay of an earlier life of the agent, if it runs still: it goes on. */
-    void adopt() {
+    @Override
+    public void adopt() {
         Path file = config.folder.resolve(PID);
         try {
             if (Files.exists(file)) {
@@ -286,7 +281,8 @@
     }
 
     /** Its sums, or null while there are none; what goes over a limit ends it. */
-    RelaySums sums() {
+    @Override
+    public RelaySums sums() {
         if (process == null || settings == null) return null;
         Map<String, Double> utilities = new LinkedHashMap<>();
         for (int i = 0; i < settings.methodNames.size(); i++) utilities.put(settings.methodNames.get(i), settings.settings.methods.get(i).utility);
@@ -298,7 +294,8 @@
     }
 
     /** Which run of the relay this is: its processor time counts from there. */
-    long life() {
+    @Override
+    public long life() {
         return process == null ? 0 : process.pid() * 31 + startedMs(process);
     }
 
@@ -359,7 +356,8 @@
     }
 
     /** What an earlier life of the agent kept; what can't be read is as if there were none, and is said. */
-    Memory remembered() {
+    @Override
+    public Memory remembered() {
         Path file = config.folder.resolve(MEMORY);
         if (!Files.exists(file)) return Memory.NONE;
         Properties read = new Properties();
--- a/src/main/java/sprucerock/agent/Station.java
+++ b/src/main/java/sprucerock/agent/Station.java
@@ -12,6 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sprucerock.change.Version;
+import sprucerock.net.Net;
 import sprucerock.net.nio.NioLoop;
 import sprucerock.stats.Chance;
 import sprucerock.time.Span;
@@ -43,9 +44,13 @@
 
     private final Logger log = LoggerFactory.getLogger("sprucerock.agent");
     private final AgentConfig config;
-    private final NioLoop loop;
+    private final Net loop;
+    private final int number;
+    private final int zone;
+    private final String name;
+    private final Tap tap;
     private final Vault vault;
-    private final Here here;
+    private final Place here;
     private final Agent agent;
     private final List<Redial> links = new ArrayList<>();
     private final Deque<Failure> failures = new ArrayDeque<>();
@@ -62,11 +67,23 @@
 
     /** @throws IOException if its folder can't be had */
     public Station(AgentConfig config, NioLoop loop) throws IOException {
+        this(config, loop, vault(config));
+    }
+
+    private Station(AgentConfig config, NioLoop loop, Vault vault) {
+        this(config, config.name, config.number, config.zone, loop, vault, Tap.NONE, (says, fails, consumers) -> new Here(config, loop, vault, says, fails, consumers));
+    }
+
+    /** One of many that share a configuration, a loop and a folder of versions: its name, number, zone and place are its own. */
+    public Station(AgentConfig config, String name, int number, int zone, Net loop, Vault vault, Tap tap, Place.Maker places) {
         this.config = config;
+        this.name = name;
+        this.number = number;
+        this.zone = zone;
         this.loop = loop;
-        java.nio.file.Files.createDirectories(config.folder);
-        vault = new Vault(config.folder.resolve("versions"), config.mostBytes);
-        here = new Here(config, loop, vault, this::changed, this::failed, new Here.Consumers() {
+        this.vault = vault;
+        this.tap = tap;
+        here = places.make(this::changed, this::failed, new Place.Consumers() {
             @Override
             public void fetch(Version version) {
                 Station.this.fetch(version);
@@ -81,13 +98,18 @@
         here.serves(agent);
     }
 
+    private static Vault vault(AgentConfig config) throws IOException {
+        java.nio.file.Files.createDirectories(config.folder);
+        return new Vault(config.folder.resolve("versions"), config.mostBytes);
+    }
+
     /** On the loop. */
     public void start() {
-        Hello mine = Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.AGENT).setNumber(config.number).setName(config.name).build();
-        Chance chance = new Chance(config.number);
+        Hello mine = Hello.newBuilder().setVersion(FrameLink.VERSION).setRole(Role.AGENT).setNumber(number).setName(name).build();
+        Chance chance = new Chance(number);
         for (InetSocketAddress to : config.controllers) {
             Door door = new Door(to);
-            Redial link = new Redial(loop, to, mine, LIMITS, Tap.NONE, chance, door);
+            Redial link = new Redial(loop, to, mine, LIMITS, tap, chance, door);
             door.link = link;
             links.add(link);
         }
@@ -130,7 +152,7 @@
         RelaySums sums = here.sums();
         Redial link = links.stream().filter(Redial::usable).findFirst().orElse(null);
         if (link == null) return;
-        AgentSays.Builder says = AgentSays.newBuilder().setZone(config.zone).setProgram(agent.runs().program()).setSettings(agent.runs().settings()).setReady(agent.ready())
+        AgentSays.Builder says = AgentSays.newBuilder().setZone(zone).setProgram(agent.runs().program()).setSettings(agent.runs().settings()).setReady(agent.ready())
             .setDone(agent.done()).setEpoch(agent.epoch()).setLife(here.life()).setStarts(agent.starts()).setCores(config.cores).addAllFailures(failures)
             .addAllReadables(readables);
         if (sums != null) says.setSums(sums);
--- a/src/main/java/sprucerock/cli/Commands.java
+++ b/src/main/java/sprucerock/cli/Commands.java
@@ -8,7 +8,7 @@
 @Command(name = "sprucerock", mixinStandardHelpOptions = true, version = "sprucerock 0.2.0",
     description = "A relay that moves traffic between builds, and the kit to rehearse it.",
     subcommands = {RelayCommand.class, CheckConfigCommand.class, RehearseCommand.class, JudgeCommand.class, BenchCommand.class, FiguresCommand.class,
-        TlsCommand.class, ControllerCommand.class, ReleaseCommand.class, AgentCommand.class, ChangeCommand.class, LeaseCommand.class, FreezeCommand.class, ServeCommand.class, SimhostCommand.class},
+        TlsCommand.class, ControllerCommand.class, ReleaseCommand.class, AgentCommand.class, ChangeCommand.class, LeaseCommand.class, FreezeCommand.class, LabCommand.class, ServeCommand.class, SimhostCommand.class},
     footer = {"", "Exit codes: 0 done, 1 found wanting, 2 bad usage or configuration, 3 failed at run time."})
 public final class Commands implements Runnable {
     /** Done as asked. */
--- a/src/main/java/sprucerock/relay/DeskLink.java
+++ b/src/main/java/sprucerock/relay/DeskLink.java
@@ -33,7 +33,7 @@
 import sprucerock.wire.v1.Worth;
 
 /** News and counts of the release desk, told to the ledger; and the module's votes, each with one answer or none in time. */
-final class DeskLink implements FrameUser {
+public final class DeskLink implements FrameUser {
     private final Net net;
     private final RelayConfig config;
     private final Ledger ledger;
@@ -49,7 +49,8 @@
     private boolean told;
     private boolean stopping;
 
-    DeskLink(Net net, RelayConfig config, Hello mine, Tap tap, Ledger ledger, Events events, Chance chance,
+    /** {@code learnt} is run with each news; nothing is opened yet, see {@link #start}. */
+    public DeskLink(Net net, RelayConfig config, Hello mine, Tap tap, Ledger ledger, Events events, Chance chance,
         Consumer<Reply> answered, Consumer<Promised> promised, Runnable learnt) {
         this.promised = promised;
         this.learnt = learnt;
@@ -61,17 +62,17 @@
         redial = new Redial(net, config.desk, mine, config.link, tap, chance, this);
     }
 
-    void start() {
+    public void start() {
         redial.dial();
     }
 
-    void stop() {
+    public void stop() {
         stopping = true;
         redial.stop();
     }
 
     /** News has come since the start. */
-    boolean told() {
+    public boolean told() {
         return told;
     }
 
@@ -79,11 +80,13 @@
         redial.send(Kind.WORTH, worth, ClientLink.NO_BODY);
     }
 
-    boolean ask(PromiseAsk ask) {
+    /** False where the desk is away. */
+    public boolean ask(PromiseAsk ask) {
         return redial.send(Kind.PROMISE_ASK, ask, ClientLink.NO_BODY);
     }
 
-    void vote(Build build, int stage, Verdict verdict) {
+    /** Ends in one answer, or in none within the time that the settings have. */
+    public void vote(Build build, int stage, Verdict verdict) {
         long id = ++lastVote;
         Accounts accounts = ledger.accounts();
         accounts.begin(accounts.votes, 0, accounts.votes.pending());
--- a/src/main/java/sprucerock/relay/Racks.java
+++ b/src/main/java/sprucerock/relay/Racks.java
@@ -22,9 +22,9 @@
  * can't know which racks there are, and one may be frozen while it starts. Cut off from the controller it goes on by what it was promised,
  * and stops rack by rack as that runs out.
  */
-final class Racks {
+public final class Racks {
     /** What it needs of the relay. */
-    interface Owner {
+    public interface Owner {
         /** False where nobody can be asked. */
         boolean ask(PromiseAsk ask);
 
@@ -51,7 +51,8 @@
     private boolean told;
     private boolean stopped;
 
-    Racks(Net net, RelayConfig config, Events events, Chance chance, Owner owner) {
+    /** It asks nobody yet, see {@link #start}. */
+    public Racks(Net net, RelayConfig config, Events events, Chance chance, Owner owner) {
         this.net = net;
         this.config = config;
         this.events = events;
@@ -59,11 +60,11 @@
         this.owner = owner;
     }
 
-    void start() {
+    public void start() {
         if (config.racksEvery != null) ask();
     }
 
-    void stop() {
+    public void stop() {
         stopped = true;
         if (next != null) next.cancel();
         if (turns != null) turns.cancel();
@@ -78,7 +79,8 @@
         next = net.at(net.now().plus(config.racksEvery.times(0.75 + 0.5 * chance.next())), this::ask);
     }
 
-    void told(Promised promised) {
+    /** An answer, or word that something has changed. */
+    public void told(Promised promised) {
         if (config.racksEvery == null || stopped) return;
         if (promised.getId() == 0) { // something has changed
             next.cancel();
@@ -116,7 +118,8 @@
         return mayPlace(unit.zone, unit.cell, net.now(), config.longestDeadline);
     }
 
-    boolean mayPlace(int zone, int cell) {
+    /** The same for a rack by its place. */
+    public boolean mayPlace(int zone, int cell) {
         return mayPlace(zone, cell, net.now(), config.longestDeadline);
     }
 
@@ -126,7 +129,7 @@
     }
 
     /** Racks are nothing to it, or it was promised something. */
-    boolean told() {
+    public boolean told() {
         return told || config.racksEvery == null;
     }
 
--- a/src/main/java/sprucerock/wire/FrameLink.java
+++ b/src/main/java/sprucerock/wire/FrameLink.java
@@ -83,6 +83,11 @@
         timers.at(now.plus(limits.beat()), this::beat);
     }
 
+    /** Bytes of a frame on the wire. */
+    public static int size(MessageLite head, byte[] body) {
+        return FrameReader.START + head.getSerializedSize() + body.length;
+    }
+
     /** Sends a frame; returns a mark for {@link #mayHaveLeft}. On a closed link nothing happens. */
     public long send(Kind kind, MessageLite head, byte[] body) {
         if (closed || link == null) return Long.MAX_VALUE;
--- a/src/test/java/sprucerock/ArchitectureTest.java
+++ b/src/test/java/sprucerock/ArchitectureTest.java
@@ -54,6 +54,7 @@
             {"desk", "time lease freeze net net.nio config change compare versions controller controller.v1 wire wire.v1"},
             {"standin", "time stats lease net tls trace wire wire.v1"},
             {"recovery", "trace wire wire.v1"},
+            {"lab", "time stats model host ledger serving config relay agent change versions lease net net.nio wire wire.v1"},
             {"rehearsal", "time net net.nio tls trace judge recovery figures ledger desk standin wire wire.v1"},
         };
     }
@@ -68,6 +69,11 @@
                 other.getPackageName().startsWith("sprucerock") && !allowed.contains(other.getPackageName()))).check(ALL);
     }
 
+    @Test
+    public void theLabMeasuresAndNothingButTheCommandsDependsOnIt() {
+        noClasses().that().resideOutsideOfPackages("sprucerock.lab", "sprucerock.cli").should().dependOnClassesThat().resideInAPackage("sprucerock.lab").check(ALL);
+    }
+
     @Test
     public void onlyTheLedgerWritesFacts() {
         methods().that().areAnnotatedWith(ByLedger.class).should().onlyBeCalled().byClassesThat()
