--- a/src/main/java/sprucerock/cli/LabCommand.java
+++ b/src/main/java/sprucerock/cli/LabCommand.java
@@ -6,6 +6,8 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import org.slf4j.LoggerFactory;
@@ -40,11 +42,11 @@
         @Option(names = "--units", defaultValue = "-1", description = "in all racks, 16 a relay unless given")
         private int units;
 
-        @Option(names = "--seconds", defaultValue = "30", description = "that are measured, ${DEFAULT-VALUE} unless given")
+        @Option(names = "--seconds", defaultValue = "30", description = "of each scene that are measured, ${DEFAULT-VALUE} unless given")
         private double seconds;
 
-        @Option(names = "--scene", required = true, description = "mean, burst, rack, zone, mass, vote, freeze, control or stall")
-        private String scene;
+        @Option(names = "--scene", required = true, split = ",", description = "mean, burst, rack, zone, mass, vote, freeze, control or stall; several with commas, one after another on one fleet")
+        private String[] scenes;
 
         @Option(names = "--seed", defaultValue = "1", description = "of all that is drawn, ${DEFAULT-VALUE} unless given")
         private long seed;
@@ -56,21 +58,25 @@
         public Integer call() throws Exception {
             ScaleRun.Plan plan;
             try {
-                plan = new ScaleRun.Plan(relays, racks, units < 0 ? Math.max(racks, 16 * relays) : units, seconds, ScaleRun.Scene.valueOf(scene.toUpperCase(Locale.ROOT)), seed);
+                List<ScaleRun.Scene> named = Arrays.stream(scenes).map(name -> ScaleRun.Scene.valueOf(name.toUpperCase(Locale.ROOT))).toList();
+                plan = new ScaleRun.Plan(relays, racks, units < 0 ? Math.max(racks, 16 * relays) : units, seconds, named, seed);
             } catch (IllegalArgumentException e) {
                 throw new ConfigException(e.getMessage());
             }
             Files.createDirectories(folder);
-            ObjectNode result;
+            List<ObjectNode> results;
             try (ScaleRun run = new ScaleRun(plan, System.err)) {
-                result = run.play();
+                results = run.play();
             }
-            Path file = folder.resolve(scene.toLowerCase(Locale.ROOT) + "-" + relays + ".json");
-            Files.writeString(file, JsonMapper.builder().build().writerWithDefaultPrettyPrinter().writeValueAsString(result) + "\n");
-            System.out.println(file + ": " + (result.get("kept_up").asBoolean() ? "kept up" : "did not keep up: " + result.get("why_not").asText()));
-            boolean reached = true;
-            for (var one : result.get("in_force")) reached &= one.get("missing").asInt() == 0;
-            return reached && result.get("kept_up").asBoolean() ? Commands.DONE : Commands.WANTING;
+            boolean well = results.size() == plan.scenes().size();
+            for (ObjectNode result : results) {
+                Path file = folder.resolve(result.get("scene").asText() + "-" + relays + ".json");
+                Files.writeString(file, JsonMapper.builder().build().writerWithDefaultPrettyPrinter().writeValueAsString(result) + "\n");
+                System.out.println(file + ": " + (result.get("kept_up").asBoolean() ? "kept up" : "did not keep up: " + result.get("why_not").asText()));
+                well &= result.get("kept_up").asBoolean();
+                for (var one : result.get("in_force")) well &= one.get("missing").asInt() == 0;
+            }
+            return well ? Commands.DONE : Commands.WANTING;
         }
     }
 
--- a/src/main/java/sprucerock/lab/Child.java
+++ b/src/main/java/sprucerock/lab/Child.java
@@ -30,6 +30,7 @@
     private final Process process;
     private final BufferedReader answers;
     private final OutputStream words;
+    private Cpu last = new Cpu(0, 0);
 
     /** Java with these options on the program's own class path; what it says goes to {@code log}, but for its answers to words. */
     Child(String role, String name, File log, boolean talks, List<String> options, String... arguments) throws IOException {
@@ -69,10 +70,18 @@
         return process.isAlive();
     }
 
+    /** Of a process that has ended, what was read last. */
     Cpu cpu() throws IOException {
-        String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+        String stat;
+        try {
+            stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+        } catch (IOException e) {
+            if (process.isAlive()) throw e;
+            return last;
+        }
         String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" "); // from the third on: a name may hold spaces
-        return new Cpu(Long.parseLong(fields[11]) / TICKS_A_SECOND, Long.parseLong(fields[12]) / TICKS_A_SECOND);
+        last = new Cpu(Long.parseLong(fields[11]) / TICKS_A_SECOND, Long.parseLong(fields[12]) / TICKS_A_SECOND);
+        return last;
     }
 
     /** Resident memory in MB, after a collection where the JDK's tool for that is there. */
