--- a/src/test/java/sprucerock/scale/AddedLatencyStudy.java
+++ b/src/test/java/sprucerock/scale/AddedLatencyStudy.java
@@ -504,7 +504,8 @@
     private void watch(long pid) throws IOException {
         try (Stream<Path> each = Files.list(Path.of("/proc/" + pid + "/task"))) {
             for (Path task : (Iterable<Path>) each::iterator) {
-                String name = Files.readString(task.resolve("comm")).trim();
+                String name = name(task);
+                if (name == null) continue;
                 boolean compiles = name.startsWith("C1 ") || name.startsWith("C2 ");
                 boolean collects = name.startsWith("VM Thread") || name.startsWith("G1 ") || name.startsWith("GC ");
                 tasks.put(task.resolve("schedstat"), compiles ? 1 : collects ? 2 : 0);
@@ -533,12 +534,22 @@
         }
     }
 
+    /** A thread's name; null where it has ended meanwhile. */
+    private static String name(Path task) {
+        try {
+            return Files.readString(task.resolve("comm")).trim();
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
     /** Of each thread of a process, by the kernel: nanoseconds on a core, nanoseconds it waited for one, and turns on one. */
     private static Map<String, long[]> threads(long pid) {
         Map<String, long[]> found = new TreeMap<>();
         try (Stream<Path> tasks = Files.list(Path.of("/proc/" + pid + "/task"))) {
             for (Path task : (Iterable<Path>) tasks::iterator) {
-                String name = Files.readString(task.resolve("comm")).trim();
+                String name = name(task);
+                if (name == null) continue;
                 String[] words = Files.readString(task.resolve("schedstat")).trim().split(" ");
                 long[] sum = found.computeIfAbsent(name, n -> new long[3]);
                 for (int i = 0; i < 3; i++) sum[i] += Long.parseLong(words[i]);
