The vote back by itself: with ill machines a good build falls in one trial of three

Cause: a look with 30 relays took the good build back at three mismatches to none, with machines failing fast under both builds.

--- a/src/test/java/sprucerock/VoteEvidenceTest.java
+++ b/src/test/java/sprucerock/VoteEvidenceTest.java
@@ -75,4 +75,11 @@
         host.pass(4000);
         assertFalse(host.votes.contains(Verdict.ON), "voted on with no unit of the stage listed");
     }
+
+    @Test
+    public void aGoodBuildOnSoundMachinesIsNeverTakenBackAndABadOneNearlyAlways() {
+        assertEquals(VoteStudy.takenBack(100, 0, 0, 11), 0.0);
+        assertTrue(VoteStudy.takenBack(100, 0.1, 0, 11) >= 0.98);
+        assertTrue(VoteStudy.takenBack(100, 0.2, 0.05, 11) >= 0.95, "few ill machines hide a bad build");
+    }
 }
