The stage's move on by listed units alone is taken back until the counts are mended

Cause: keeps a build from being released with half of its units unseen, but holds it on trial longer under trouble, and there the desk's counts take a good build back.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -745,9 +745,7 @@
 
     // After 20 pairs or at the fallback age. Where one vote moves the stage, relays that saw little leave it
     // to others for two seconds more; the last stage waits for a KS test or many pairs, or three seconds
-    // more. While the new units of a stage are not listed it waits up to 8 s: pairs of an earlier stage's
-    // units say nothing of those, and a build released while discovery is down gets all traffic on the few
-    // units that relays know. In the first stage there are no pairs without its units.
+    // more.
     private boolean mayMoveOn(Moment now) {
         Evidence seen = offer.evidence;
         boolean single = settings.control == Settings.Control.SINGLE;
@@ -757,11 +755,12 @@
         double fallback = untested ? 6000 : single && pairs < 5 ? 5000 : 3000;
         // alone, the busiest of many relays must see enough first
         if (single && alone) fallback *= Math.max(1, Math.min(3, Math.log(settings.relays) / Math.log(16)));
-        Span known = now.since(offer.since); // and the start times in the list
+        // by the start times in the list; while the new units of a stage are not listed, none up to 8 s
+        Span known = now.since(offer.since);
         Moment newest = offer.build.newest();
         boolean missing = newest == null || offer.since.after(newest) && Span.ofMs(8000).over(known);
         boolean old = !missing && now.since(newest).atMost(known).over(Span.ofMs(fallback));
-        return pairs >= 20 && !untested && (offer.stage == 0 || !missing) || old;
+        return pairs >= 20 && !untested || old;
     }
 
     /** Votes expire, get lost or come early: cast anew at half their life, soon where one did not count. */
