What is kept of a fleet's changes is called change notes

Cause: three unlike things were called Memory, in the agent, the changes and the figures. Change: change.Memory is ChangeNotes, as freezes have FreezeNotes; names alone. Measured: all of main and tests compiles; nothing else was run for it.

--- a/src/main/java/sprucerock/change/Memory.java
+++ b/src/main/java/sprucerock/change/ChangeNotes.java
@@ -6,7 +6,7 @@
 import sprucerock.time.Moment;
 
 /** All of a fleet's changes as plain values, to be kept and put back: what is not in it is not needed to go on. */
-public record Memory(Version current, long sequence, long numbers, String weather, boolean releasing, Map<Integer, Integer> rooms, List<Integer> controls,
+public record ChangeNotes(Version current, long sequence, long numbers, String weather, boolean releasing, Map<Integer, Integer> rooms, List<Integer> controls,
     List<OfRelay> relays, List<OfChange> changes) {
     /** @param silentSince null while it is heard; {@code toldAt}, {@code readyAt}, {@code wanted}: null where there is none */
     public record OfRelay(int number, int zone, boolean busy, Version runs, boolean ready, Moment silentSince, Version wanted, int turn, int done, Moment toldAt,
@@ -16,8 +16,8 @@
         Collection<Integer> checked, Map<Integer, String> refused, Collection<Integer> moved, Map<Integer, Integer> beside, Verdict verdict, List<Change.Step> steps) {}
 
     /** What there is now. */
-    public static Memory of(Changes all) {
-        return new Memory(all.current, all.sequence, all.numbers, all.weather, all.releasing, Map.copyOf(all.rooms), List.copyOf(all.controls),
+    public static ChangeNotes of(Changes all) {
+        return new ChangeNotes(all.current, all.sequence, all.numbers, all.weather, all.releasing, Map.copyOf(all.rooms), List.copyOf(all.controls),
             all.relays.values().stream().map(one -> new OfRelay(one.number, one.zone, one.busy, one.runs, one.ready, one.silentSince, one.wanted, one.turn, one.done,
                 one.toldAt, one.readyAt)).toList(),
             all.changes.values().stream().map(one -> new OfChange(one.number, one.who, one.why, one.from, one.to, one.live, one.state, one.stage, one.since, one.progress, one.held,
--- a/src/main/java/sprucerock/controller/ChangeCodec.java
+++ b/src/main/java/sprucerock/controller/ChangeCodec.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import sprucerock.change.Change;
 import sprucerock.change.Changes;
-import sprucerock.change.Memory;
+import sprucerock.change.ChangeNotes;
 import sprucerock.change.Verdict;
 import sprucerock.change.Version;
 import sprucerock.controller.v1.ChangeMemory;
@@ -60,17 +60,17 @@
     }
 
     static ChangeMemory write(Changes core) {
-        Memory memory = Memory.of(core);
+        ChangeNotes memory = ChangeNotes.of(core);
         ChangeMemory.Builder written = ChangeMemory.newBuilder().setCurrent(version(memory.current())).setSequence(memory.sequence()).setNumbers(memory.numbers())
             .setWeather(memory.weather()).setReleasing(memory.releasing()).putAllRooms(memory.rooms()).addAllControls(memory.controls());
-        for (Memory.OfRelay one : memory.relays()) {
+        for (ChangeNotes.OfRelay one : memory.relays()) {
             sprucerock.controller.v1.OfRelay.Builder relay = sprucerock.controller.v1.OfRelay.newBuilder().setNumber(one.number()).setZone(one.zone()).setBusy(one.busy())
                 .setRuns(version(one.runs())).setReady(one.ready()).setSilentSinceMs(ms(one.silentSince())).setTurn(one.turn()).setDone(one.done())
                 .setToldAtMs(ms(one.toldAt())).setReadyAtMs(ms(one.readyAt()));
             if (one.wanted() != null) relay.setWanted(version(one.wanted()));
             written.addRelays(relay);
         }
-        for (Memory.OfChange one : memory.changes()) {
+        for (ChangeNotes.OfChange one : memory.changes()) {
             sprucerock.controller.v1.OfChange.Builder change = sprucerock.controller.v1.OfChange.newBuilder().setNumber(one.number()).setWho(one.who()).setWhy(one.why())
                 .setFrom(version(one.from())).setTo(version(one.to())).setState(one.state().name()).setStage(one.stage()).setSinceMs(ms(one.since()))
                 .setProgressMs(ms(one.progress())).setHeld(one.held()).addAllChecked(one.checked()).putAllRefused(one.refused()).addAllMoved(one.moved())
@@ -85,15 +85,15 @@
     }
 
     static void read(ChangeMemory written, Changes core) {
-        List<Memory.OfRelay> relays = written.getRelaysList().stream().map(one -> new Memory.OfRelay(one.getNumber(), one.getZone(), one.getBusy(), version(one.getRuns()),
+        List<ChangeNotes.OfRelay> relays = written.getRelaysList().stream().map(one -> new ChangeNotes.OfRelay(one.getNumber(), one.getZone(), one.getBusy(), version(one.getRuns()),
             one.getReady(), moment(one.getSilentSinceMs()), one.hasWanted() ? version(one.getWanted()) : null, one.getTurn(), one.getDone(), moment(one.getToldAtMs()),
             moment(one.getReadyAtMs()))).toList();
-        List<Memory.OfChange> changes = written.getChangesList().stream().map(one -> new Memory.OfChange(one.getNumber(), one.getWho(), one.getWhy(),
+        List<ChangeNotes.OfChange> changes = written.getChangesList().stream().map(one -> new ChangeNotes.OfChange(one.getNumber(), one.getWho(), one.getWhy(),
             version(one.getFrom()), version(one.getTo()), one.getLive(), Change.State.valueOf(one.getState()), one.getStage(), moment(one.getSinceMs()), moment(one.getProgressMs()),
             one.getHeld(), one.getCheckedList(), sorted(one.getRefusedMap()), one.getMovedList(), ordered(one.getBesideMap(), one.getMovedList()),
             Verdict.valueOf(one.getVerdict()), one.getStepsList().stream().map(step -> new Change.Step(step.getSequence(), Moment.ofMs(step.getAtMs()), step.getWallMs(),
                 Change.State.valueOf(step.getStanding()), step.getStage(), step.getCause())).toList())).toList();
-        new Memory(version(written.getCurrent()), written.getSequence(), written.getNumbers(), written.getWeather(), written.getReleasing(), written.getRoomsMap(),
+        new ChangeNotes(version(written.getCurrent()), written.getSequence(), written.getNumbers(), written.getWeather(), written.getReleasing(), written.getRoomsMap(),
             written.getControlsList(), relays, changes).into(core);
     }
 
--- a/src/test/java/sprucerock/change/ChangesProperties.java
+++ b/src/test/java/sprucerock/change/ChangesProperties.java
@@ -157,9 +157,9 @@
                 @Override
                 public void wants(Relay relay) {}
             });
-            Memory before = Memory.of(wild.changes);
+            ChangeNotes before = ChangeNotes.of(wild.changes);
             before.into(back);
-            assertEquals(Memory.of(back), before);
+            assertEquals(ChangeNotes.of(back), before);
             assertEquals(back.due(wild.at()), wild.changes.due(wild.at()));
         }
     }
