What changes know of a relay is called a managed relay

Change: change.Relay is ManagedRelay; names alone. Measured: all of main and tests compiles; the change's tests run with the whole suite.

--- a/src/main/java/sprucerock/change/Census.java
+++ b/src/main/java/sprucerock/change/Census.java
@@ -17,7 +17,7 @@
     private final TreeSet<Integer> settled = new TreeSet<>();
     private int live;
 
-    void enter(Relay relay) {
+    void enter(ManagedRelay relay) {
         Zone zone = zones.computeIfAbsent(relay.zone, any -> new Zone());
         zone.size++;
         if (out(relay)) zone.out++;
@@ -25,7 +25,7 @@
         if (relay.readyAt == null && relay.settled()) settled.add(relay.number);
     }
 
-    void leave(Relay relay) {
+    void leave(ManagedRelay relay) {
         Zone zone = zones.get(relay.zone);
         zone.size--;
         if (out(relay)) zone.out--;
@@ -35,7 +35,7 @@
     }
 
     /** It does not serve, or is to run something else than it does; who is lost is out too. */
-    private static boolean out(Relay relay) {
+    private static boolean out(ManagedRelay relay) {
         return !relay.serves() || relay.wanted != null && !relay.settled();
     }
 
--- a/src/main/java/sprucerock/change/ChangeNotes.java
+++ b/src/main/java/sprucerock/change/ChangeNotes.java
@@ -34,7 +34,7 @@
         all.rooms.putAll(rooms);
         all.controls.addAll(controls);
         for (OfRelay one : relays) {
-            Relay relay = new Relay(one.number);
+            ManagedRelay relay = new ManagedRelay(one.number);
             relay.zone = one.zone;
             relay.busy = one.busy;
             relay.runs = one.runs;
--- a/src/main/java/sprucerock/change/Changes.java
+++ b/src/main/java/sprucerock/change/Changes.java
@@ -30,7 +30,7 @@
         void changed(Change change, Step step);
 
         /** What a relay is to run has changed. */
-        void wants(Relay relay);
+        void wants(ManagedRelay relay);
     }
 
     static final int MOST_CHANGES = 50;
@@ -38,7 +38,7 @@
 
     private final Plan plan;
     private final Host host;
-    final TreeMap<Integer, Relay> relays = new TreeMap<>();
+    final TreeMap<Integer, ManagedRelay> relays = new TreeMap<>();
     final TreeMap<Long, Change> changes = new TreeMap<>();
     /** Restarts on the old version that wait for room. */
     final List<Integer> controls = new ArrayList<>();
@@ -76,11 +76,11 @@
         return changes.get(number);
     }
 
-    public Relay relay(int number) {
+    public ManagedRelay relay(int number) {
         return relays.get(number);
     }
 
-    public Collection<Relay> relays() {
+    public Collection<ManagedRelay> relays() {
         return Collections.unmodifiableCollection(relays.values());
     }
 
@@ -115,24 +115,24 @@
         return looked;
     }
 
-    private Collection<Relay> each() {
+    private Collection<ManagedRelay> each() {
         looked += relays.size();
         return relays.values();
     }
 
     /** All relays and changes are there from a former life. */
     void known() {
-        for (Relay relay : relays.values()) census.enter(relay);
+        for (ManagedRelay relay : relays.values()) census.enter(relay);
         readAnew();
     }
 
     private void readAnew() {
         unread.clear();
-        for (Relay relay : each()) reads(relay);
+        for (ManagedRelay relay : each()) reads(relay);
     }
 
     /** Whether it is still to read the proposed version through. */
-    private void reads(Relay relay) {
+    private void reads(ManagedRelay relay) {
         Change proposed = waiting();
         boolean is = proposed != null && proposed.state == State.PROPOSED && !relay.silent() && !proposed.checked.contains(relay.number)
             && !proposed.refused.containsKey(relay.number);
@@ -177,10 +177,10 @@
     /** An agent says how its relay stands: told on change only. {@code done}: the turn that it has carried out. */
     public void says(int number, int zone, boolean busy, Version runs, boolean ready, int done, Moment now, long wall) {
         wallMs = wall;
-        Relay relay = relays.get(number);
+        ManagedRelay relay = relays.get(number);
         if (relay == null) {
             if (relays.size() >= MOST_RELAYS) return;
-            relay = new Relay(number);
+            relay = new ManagedRelay(number);
             relays.put(number, relay);
         } else {
             census.leave(relay);
@@ -200,7 +200,7 @@
     /** An agent is not heard any more. */
     public void silent(int number, Moment now, long wall) {
         wallMs = wall;
-        Relay relay = relays.get(number);
+        ManagedRelay relay = relays.get(number);
         if (relay == null || relay.silentSince != null) return;
         census.leave(relay);
         relay.silentSince = now;
@@ -232,7 +232,7 @@
         if (to.equals(under == null ? from : under.to)) return "that is what relays run" + (under == null ? "" : " once change " + under.number + " is done");
         if (current.equals(Version.NONE)) {
             current = from;
-            for (Relay relay : relays.values()) if (relay.wanted == null) want(relay, relay.runs, now);
+            for (ManagedRelay relay : relays.values()) if (relay.wanted == null) want(relay, relay.runs, now);
         }
         Change waits = waiting();
         if (waits != null) step(waits, State.GIVEN_UP, waits.stage, "change " + (numbers + 1) + " by " + who + " takes its place", now);
@@ -337,7 +337,7 @@
             change.since = change.since.plus(down);
             change.progress = change.progress.plus(down);
         }
-        for (Relay relay : relays.values()) if (relay.toldAt != null) relay.toldAt = relay.toldAt.plus(down);
+        for (ManagedRelay relay : relays.values()) if (relay.toldAt != null) relay.toldAt = relay.toldAt.plus(down);
         settle(now);
     }
 
@@ -354,7 +354,7 @@
     private Runnable next(Moment now) {
         int settled = census.firstSettled();
         if (settled >= 0) return () -> {
-            Relay relay = relays.get(settled);
+            ManagedRelay relay = relays.get(settled);
             census.leave(relay);
             relay.readyAt = now;
             census.enter(relay);
@@ -414,14 +414,14 @@
         boolean still = releasing || !weather.isEmpty();
         for (Integer number : controls) {
             looked++;
-            Relay relay = relays.get(number);
+            ManagedRelay relay = relays.get(number);
             if (!still && relay.serves() && hasRoom(relay.zone)) return () -> {
                 controls.remove(number);
                 want(relay, relay.wanted, now);
             };
             if (relay.silent()) return () -> controls.remove(number);
         }
-        Relay next = still || change.moved.size() >= target(change) ? null : candidate(change);
+        ManagedRelay next = still || change.moved.size() >= target(change) ? null : candidate(change);
         if (next != null) return () -> move(change, next, now);
         boolean all = !change.moved.isEmpty() && change.moved.size() >= target(change) && controls.isEmpty();
         looked += change.moved.size() + change.beside.size();
@@ -436,7 +436,7 @@
         int gone = 0;
         looked += change.moved.size();
         for (int number : change.moved) {
-            Relay relay = relays.get(number);
+            ManagedRelay relay = relays.get(number);
             if (relay.silent()) gone++;
             else if (!relay.settled() && relay.readyAt == null && now.since(relay.toldAt).over(plan.readyWithin())) {
                 return "relay " + number + " was not ready within " + seconds(plan.readyWithin());
@@ -450,20 +450,20 @@
         return null;
     }
 
-    private void move(Change change, Relay relay, Moment now) {
+    private void move(Change change, ManagedRelay relay, Moment now) {
         change.moved.add(relay.number);
         change.progress = now;
         change.beside.values().remove(relay.number);
         controls.remove(Integer.valueOf(relay.number));
         want(relay, change.to, now);
         if (change.stage == plan.stages().size() - 1) return;
-        Relay control = control(change, relay);
+        ManagedRelay control = control(change, relay);
         if (control == null) return;
         change.beside.put(relay.number, control.number);
         if (!change.live) controls.add(control.number);
     }
 
-    private void want(Relay relay, Version version, Moment now) {
+    private void want(ManagedRelay relay, Version version, Moment now) {
         boolean anew = relay.wanted != null;
         census.leave(relay);
         relay.wanted = version;
@@ -486,7 +486,7 @@
         if (change.moved.size() < target(change)) return () -> step(change, State.MOVING, change.stage, "relays are there that were not before", now);
         return () -> {
             current = change.to;
-            for (Relay relay : relays.values()) {
+            for (ManagedRelay relay : relays.values()) {
                 boolean left = !change.moved.contains(relay.number) && !change.refused.containsKey(relay.number);
                 if (left) want(relay, current, now); // those that were silent all through
             }
@@ -511,7 +511,7 @@
         List<Integer> newestFirst = new ArrayList<>(change.moved);
         Collections.reverse(newestFirst);
         for (int number : newestFirst) {
-            Relay relay = relays.get(number);
+            ManagedRelay relay = relays.get(number);
             boolean told = relay.wanted.equals(change.from);
             // one that is not settled is out already, if only because it fell back to what ran well before
             if (!told && (!relay.settled() || hasRoom(relay.zone))) return () -> want(relay, change.from, now);
@@ -531,7 +531,7 @@
 
     private int target(Change change) {
         int able = 0; // who does not serve is left out, and told at the end
-        for (Relay relay : each()) if (change.moved.contains(relay.number) || relay.serves() && !change.refused.containsKey(relay.number)) able++;
+        for (ManagedRelay relay : each()) if (change.moved.contains(relay.number) || relay.serves() && !change.refused.containsKey(relay.number)) able++;
         double share = plan.stages().get(change.stage).share();
         return change.stage == 0 ? 1 : (int) Math.ceil(share * able - 1e-9);
     }
@@ -543,11 +543,11 @@
     }
 
     /** Zones, then busy and quiet ones, have their turn by how few of them were moved; who is a control comes last. */
-    private Relay candidate(Change change) {
+    private ManagedRelay candidate(Change change) {
         Map<Integer, int[]> zones = new HashMap<>();
         Map<Integer, int[]> kinds = new HashMap<>();
         Map<Integer, Boolean> hasRoom = new HashMap<>();
-        for (Relay relay : each()) {
+        for (ManagedRelay relay : each()) {
             int moved = change.moved.contains(relay.number) ? 1 : 0;
             zones.computeIfAbsent(relay.zone, zone -> new int[2])[0] += moved;
             zones.get(relay.zone)[1]++;
@@ -555,9 +555,9 @@
             kinds.get(2 * relay.zone + (relay.busy ? 1 : 0))[1]++;
         }
         Set<Integer> beside = new HashSet<>(change.beside.values());
-        Relay best = null;
+        ManagedRelay best = null;
         double least = 0;
-        for (Relay relay : each()) {
+        for (ManagedRelay relay : each()) {
             boolean may = relay.serves() && !change.moved.contains(relay.number) && !change.refused.containsKey(relay.number);
             if (!may || !hasRoom.computeIfAbsent(relay.zone, this::hasRoom)) continue;
             int[] zone = zones.get(relay.zone);
@@ -574,17 +574,17 @@
     }
 
     /** The most alike of those that serve and are neither moved nor beside another: same zone and load, else same zone. */
-    private Relay control(Change change, Relay of) {
+    private ManagedRelay control(Change change, ManagedRelay of) {
         Set<Integer> beside = new HashSet<>(change.beside.values());
-        Relay best = null;
-        for (Relay relay : each()) {
+        ManagedRelay best = null;
+        for (ManagedRelay relay : each()) {
             boolean free = relay.serves() && !change.moved.contains(relay.number) && !beside.contains(relay.number) && relay.runs.equals(change.from);
             if (free && (best == null || alike(relay, of) > alike(best, of))) best = relay;
         }
         return best;
     }
 
-    private static int alike(Relay one, Relay other) {
+    private static int alike(ManagedRelay one, ManagedRelay other) {
         return (one.zone == other.zone ? 2 : 0) + (one.busy == other.busy ? 1 : 0);
     }
 
@@ -618,7 +618,7 @@
     private Version most() {
         Map<Version, Integer> counts = new HashMap<>();
         Version found = Version.NONE;
-        for (Relay relay : relays.values()) {
+        for (ManagedRelay relay : relays.values()) {
             if (!relay.serves() || relay.runs.equals(Version.NONE)) continue;
             int count = counts.merge(relay.runs, 1, Integer::sum);
             if (count > counts.getOrDefault(found, 0)) found = relay.runs;
--- a/src/main/java/sprucerock/change/Relay.java
+++ b/src/main/java/sprucerock/change/ManagedRelay.java
@@ -3,7 +3,7 @@
 import sprucerock.time.Moment;
 
 /** What the fleet's changes know of one relay, by what its agent says, and what they want of it. */
-public final class Relay {
+public final class ManagedRelay {
     public final int number;
     int zone;
     /** Carries more than the median of the fleet. */
@@ -20,7 +20,7 @@
     /** Ready on what is wanted since its turn; null while it is not. */
     Moment readyAt;
 
-    Relay(int number) {
+    ManagedRelay(int number) {
         this.number = number;
     }
 
--- a/src/main/java/sprucerock/controller/Engine.java
+++ b/src/main/java/sprucerock/controller/Engine.java
@@ -8,7 +8,7 @@
 import sprucerock.change.Change;
 import sprucerock.change.Changes;
 import sprucerock.change.Plan;
-import sprucerock.change.Relay;
+import sprucerock.change.ManagedRelay;
 import sprucerock.controller.v1.Input;
 import sprucerock.controller.v1.Restarted;
 import sprucerock.controller.v1.State;
@@ -77,7 +77,7 @@
             }
 
             @Override
-            public void wants(Relay relay) {
+            public void wants(ManagedRelay relay) {
                 if (!replaying) ofChanges.wants(relay);
             }
         });
--- a/src/main/java/sprucerock/controller/Watcher.java
+++ b/src/main/java/sprucerock/controller/Watcher.java
@@ -9,7 +9,7 @@
 import sprucerock.change.Change;
 import sprucerock.change.Changes;
 import sprucerock.change.Plan;
-import sprucerock.change.Relay;
+import sprucerock.change.ManagedRelay;
 import sprucerock.change.Verdict;
 import sprucerock.compare.Comparison;
 import sprucerock.compare.Couple;
@@ -153,7 +153,7 @@
     }
 
     private boolean settled(int number, sprucerock.change.Version version) {
-        Relay relay = changes.relay(number);
+        ManagedRelay relay = changes.relay(number);
         return relays.containsKey(number) && relay.ready() && !relay.silent() && relay.runs().equals(version);
     }
 
--- a/src/main/java/sprucerock/desk/AgentsDoor.java
+++ b/src/main/java/sprucerock/desk/AgentsDoor.java
@@ -10,7 +10,7 @@
 import org.slf4j.LoggerFactory;
 import sprucerock.change.Change;
 import sprucerock.change.Changes;
-import sprucerock.change.Relay;
+import sprucerock.change.ManagedRelay;
 import sprucerock.change.Verdict;
 import sprucerock.change.Version;
 import sprucerock.compare.Window;
@@ -76,7 +76,7 @@
         this.vault = vault;
         limits = new Limits(1 << 20, 4L << 20, Span.ofMs(1000));
         watch = new Watcher(changes(), this);
-        for (Relay relay : changes().relays()) absent.left(relay.number, net.now()); // a start: they have as long to come as if they had just been heard
+        for (ManagedRelay relay : changes().relays()) absent.left(relay.number, net.now()); // a start: they have as long to come as if they had just been heard
     }
 
     private Changes changes() {
@@ -108,7 +108,7 @@
     /** Who is not heard any more; and, after a start of the controller, who was not heard at all. */
     private void look() {
         for (int number : absent.longer(config.plan.silent(), net.now())) {
-            Relay relay = changes().relay(number);
+            ManagedRelay relay = changes().relay(number);
             if (relay == null || relay.silent()) absent.back(number);
             else desk.submit(Input.newBuilder().setSilent(Silent.newBuilder().setRelay(number)), outcome -> { }); // refused: again with the next look
         }
@@ -116,7 +116,7 @@
     }
 
     /** What is wanted of a relay has changed. */
-    void wants(Relay relay) {
+    void wants(ManagedRelay relay) {
         Session session = sessions.get(relay.number);
         if (session != null) session.tell(relay);
     }
@@ -180,7 +180,7 @@
             absent.back(number);
         }
 
-        void tell(Relay relay) {
+        void tell(ManagedRelay relay) {
             Wants.Builder wants = Wants.newBuilder().setEpoch(desk.engine().releases().epoch());
             if (relay != null && relay.wanted() != null && !relay.wanted().equals(Version.NONE)) {
                 wants.setTurn(relay.turn()).setProgram(relay.wanted().program()).setSettings(relay.wanted().settings());
@@ -208,7 +208,7 @@
             boolean first = last == null;
             last = says;
             try {
-                Relay known = changes().relay(number);
+                ManagedRelay known = changes().relay(number);
                 Version runs = new Version(says.getProgram(), says.getSettings());
                 boolean news = known == null || known.silent() || known.zone() != says.getZone() || !known.runs().equals(runs) || known.ready() != says.getReady()
                     || known.done() != says.getDone();
--- a/src/main/java/sprucerock/desk/Desk.java
+++ b/src/main/java/sprucerock/desk/Desk.java
@@ -15,7 +15,7 @@
 import org.slf4j.LoggerFactory;
 import sprucerock.change.Change;
 import sprucerock.change.Changes;
-import sprucerock.change.Relay;
+import sprucerock.change.ManagedRelay;
 import sprucerock.controller.Engine;
 import sprucerock.controller.FolderSeat;
 import sprucerock.controller.Release;
@@ -199,7 +199,7 @@
             }
 
             @Override
-            public void wants(Relay relay) {
+            public void wants(ManagedRelay relay) {
                 if (agents != null) agents.wants(relay);
             }
         };
--- a/src/main/java/sprucerock/desk/HttpDoor.java
+++ b/src/main/java/sprucerock/desk/HttpDoor.java
@@ -30,7 +30,7 @@
 import org.xnio.Options;
 import sprucerock.change.Change;
 import sprucerock.change.Changes;
-import sprucerock.change.Relay;
+import sprucerock.change.ManagedRelay;
 import sprucerock.change.Version;
 import sprucerock.config.ConfigException;
 import sprucerock.config.Live;
@@ -471,7 +471,7 @@
     private ObjectNode agents() {
         ObjectNode all = Announcements.JSON.createObjectNode();
         ArrayNode list = all.putArray("agents");
-        for (Relay one : desk.engine().changes().relays()) {
+        for (ManagedRelay one : desk.engine().changes().relays()) {
             list.addObject().put("relay", one.number).put("zone", one.zone()).put("heard", !one.silent()).put("runs", one.runs().toString())
                 .put("wanted", one.wanted() == null ? "" : one.wanted().toString()).put("ready", one.ready()).put("done", one.done()).put("turn", one.turn())
                 .put("busy", one.busy()).put("program", one.runs().program());
--- a/src/test/java/sprucerock/change/ChangesProperties.java
+++ b/src/test/java/sprucerock/change/ChangesProperties.java
@@ -38,18 +38,18 @@
             return Moment.ofMs(now);
         }
 
-        private boolean away(Relay relay) {
+        private boolean away(ManagedRelay relay) {
             return !relay.ready() || relay.silent() || relay.wanted() != null && (relay.done() != relay.turn() || !relay.runs().equals(relay.wanted()));
         }
 
         int away(int zone) {
             int count = 0;
-            for (Relay relay : changes.relays()) if (relay.zone() == zone && away(relay)) count++;
+            for (ManagedRelay relay : changes.relays()) if (relay.zone() == zone && away(relay)) count++;
             return count;
         }
 
         @Override
-        public void wants(Relay relay) {
+        public void wants(ManagedRelay relay) {
             assertTrue(relay.turn() >= turns.getOrDefault(relay.number, 0), "a turn went back");
             turns.put(relay.number, relay.turn());
             if (relay.turn() == 0) return;
@@ -73,7 +73,7 @@
         void step() {
             now += random.nextInt(1500);
             int number = random.nextInt(relays);
-            Relay relay = changes.relay(number);
+            ManagedRelay relay = changes.relay(number);
             Change under = changes.under();
             switch (random.nextInt(14)) {
                 case 0 -> changes.silent(number, at(), 0);
@@ -113,7 +113,7 @@
             }
         }
 
-        void obey(Relay relay) {
+        void obey(ManagedRelay relay) {
             Version runs = relay.wanted() == null ? relay.runs() : relay.wanted();
             changes.says(relay.number, relay.zone(), relay.busy(), runs, true, relay.turn(), at(), 0);
         }
@@ -134,11 +134,11 @@
         wild.changes.room(Map.of(), "", wild.at(), 0);
         for (int i = 0; i < 400; i++) { // agents obey, nobody speaks, time passes
             wild.now += 5000;
-            for (Relay relay : java.util.List.copyOf(wild.changes.relays())) wild.obey(relay);
+            for (ManagedRelay relay : java.util.List.copyOf(wild.changes.relays())) wild.obey(relay);
             wild.changes.tick(wild.at(), 0);
         }
         for (Change one : wild.changes.all()) assertTrue(!one.state().open(), "change " + one.number + " is " + one.state() + " still: " + wild.changes.waitsFor(one, wild.at()));
-        for (Relay relay : wild.changes.relays()) {
+        for (ManagedRelay relay : wild.changes.relays()) {
             boolean refused = wild.changes.all().stream().anyMatch(one -> one.refused().containsKey(relay.number));
             if (wild.changes.all().stream().anyMatch(one -> one.state() == State.DONE) && !refused) assertEquals(relay.runs(), wild.changes.current());
         }
@@ -155,7 +155,7 @@
                 public void changed(Change change, Change.Step step) {}
 
                 @Override
-                public void wants(Relay relay) {}
+                public void wants(ManagedRelay relay) {}
             });
             ChangeNotes before = ChangeNotes.of(wild.changes);
             before.into(back);
--- a/src/test/java/sprucerock/change/ChangesTest.java
+++ b/src/test/java/sprucerock/change/ChangesTest.java
@@ -24,7 +24,7 @@
     static final class Fleet implements Changes.Host {
         final Changes changes;
         final List<Change.Step> steps = new ArrayList<>();
-        final List<Relay> wants = new ArrayList<>();
+        final List<ManagedRelay> wants = new ArrayList<>();
         double now = 1000;
 
         Fleet(int relays) {
@@ -37,14 +37,14 @@
         }
 
         void says(int number, Version runs, boolean ready) {
-            Relay relay = changes.relay(number);
+            ManagedRelay relay = changes.relay(number);
             changes.says(number, relay.zone, relay.busy, runs, ready, relay.turn(), at(), 0);
         }
 
         /** All that are to run something else do so, one after another, each for a moment away. */
         void obey() {
             while (!wants.isEmpty()) {
-                Relay next = wants.remove(0);
+                ManagedRelay next = wants.remove(0);
                 if (next.silent()) continue;
                 says(next.number, next.wanted(), false);
                 now += 300;
@@ -55,7 +55,7 @@
         Change propose() {
             assertNull(changes.propose("eve", "a faster reader", NEW, false, at(), 0));
             Change change = changes.waiting();
-            for (Relay relay : List.copyOf(changes.relays())) changes.checked(relay.number, change.number, "", at(), 0);
+            for (ManagedRelay relay : List.copyOf(changes.relays())) changes.checked(relay.number, change.number, "", at(), 0);
             return change;
         }
 
@@ -66,7 +66,7 @@
 
         int on(Version version) {
             int count = 0;
-            for (Relay relay : changes.relays()) if (relay.runs().equals(version)) count++;
+            for (ManagedRelay relay : changes.relays()) if (relay.runs().equals(version)) count++;
             return count;
         }
 
@@ -76,7 +76,7 @@
         }
 
         @Override
-        public void wants(Relay relay) {
+        public void wants(ManagedRelay relay) {
             wants.add(relay);
         }
     }
@@ -184,7 +184,7 @@
         Change change = fleet.propose();
         int first = change.moved().iterator().next();
         fleet.says(first, NEW, false);
-        Relay relay = fleet.changes.relay(first);
+        ManagedRelay relay = fleet.changes.relay(first);
         fleet.changes.says(first, relay.zone(), relay.busy(), OLD, true, relay.done() - 1, fleet.at(), 0);
         fleet.wants.clear();
         fleet.changes.failed(first, NEW, 0, "ended with code 3", fleet.at(), 0);
--- a/src/test/java/sprucerock/controller/ChangeStudy.java
+++ b/src/test/java/sprucerock/controller/ChangeStudy.java
@@ -10,7 +10,7 @@
 import sprucerock.change.Change;
 import sprucerock.change.Changes;
 import sprucerock.change.Plan;
-import sprucerock.change.Relay;
+import sprucerock.change.ManagedRelay;
 import sprucerock.change.Verdict;
 import sprucerock.change.Version;
 import sprucerock.compare.Window;
@@ -151,7 +151,7 @@
         private final Changes changes = new Changes(PLAN, this);
         private final Watcher watcher = new Watcher(changes, this);
         private final Map<Integer, Integer> lives = new TreeMap<>();
-        private final List<Relay> wants = new ArrayList<>();
+        private final List<ManagedRelay> wants = new ArrayList<>();
         private double now;
         private int warm = 40;
 
@@ -159,7 +159,7 @@
         public boolean tick(Fleet fleet, double nowMs) {
             now = nowMs;
             for (int i = 0; i < fleet.size; i++) {
-                Relay relay = changes.relay(i);
+                ManagedRelay relay = changes.relay(i);
                 Version runs = fleet.fresh[i] ? NEW : OLD;
                 boolean ready = fleet.ready(i);
                 if (relay == null || relay.ready() != ready || !relay.runs().equals(runs)) {
@@ -173,7 +173,7 @@
                 for (int i = 0; i < fleet.size; i++) changes.checked(i, 1, "", at(), 0);
             }
             changes.tick(at(), 0);
-            for (Relay one : wants) {
+            for (ManagedRelay one : wants) {
                 if (one.turn() == 0) continue;
                 fleet.restart(one.number, one.wanted().equals(NEW));
                 lives.merge(one.number, 1, Integer::sum);
@@ -197,7 +197,7 @@
         public void changed(Change change, Change.Step step) {}
 
         @Override
-        public void wants(Relay relay) {
+        public void wants(ManagedRelay relay) {
             wants.add(relay);
         }
 
@@ -213,7 +213,7 @@
 
         @Override
         public void busy(int number, boolean is) {
-            Relay relay = changes.relay(number);
+            ManagedRelay relay = changes.relay(number);
             changes.says(number, relay.zone(), is, relay.runs(), relay.ready(), relay.done(), at(), 0);
         }
     }
--- a/src/test/java/sprucerock/controller/EngineTest.java
+++ b/src/test/java/sprucerock/controller/EngineTest.java
@@ -17,7 +17,7 @@
 import sprucerock.change.Change;
 import sprucerock.change.Changes;
 import sprucerock.change.Plan;
-import sprucerock.change.Relay;
+import sprucerock.change.ManagedRelay;
 import sprucerock.change.Version;
 import sprucerock.controller.v1.AgentSays;
 import sprucerock.controller.v1.Announced;
@@ -159,7 +159,7 @@
                 }
 
                 @Override
-                public void wants(Relay relay) {
+                public void wants(ManagedRelay relay) {
                     Version before = wanted.computeIfAbsent(relay.number, any -> new TreeMap<>()).putIfAbsent(relay.turn(), relay.wanted());
                     if (before != null && !before.equals(relay.wanted())) contradictions.add("relay " + relay.number + ", turn " + relay.turn() + ": " + before + ", then " + relay.wanted());
                 }
@@ -174,7 +174,7 @@
     private static Input.Builder ofChange(Engine engine, SplittableRandom random) {
         Changes changes = engine.changes();
         int number = random.nextInt(6);
-        Relay relay = changes.relay(number);
+        ManagedRelay relay = changes.relay(number);
         Change any = changes.under() != null ? changes.under() : changes.waiting();
         boolean begun = relay != null && relay.wanted() != null;
         return switch (random.nextInt(8)) {
@@ -257,7 +257,7 @@
                     + step.standing() + " " + step.stage())));
                 next.changes().all().forEach(change -> change.steps().forEach(step -> steps.add("change " + step.sequence() + ": " + change.number + " " + step.state() + " "
                     + step.stage())));
-                for (Relay relay : next.changes().relays()) {
+                for (ManagedRelay relay : next.changes().relays()) {
                     if (wanted.get(relay.number) == null) continue;
                     assertTrue(relay.turn() >= wanted.get(relay.number).lastKey(), "a turn that was told is forgotten, crash at " + most);
                 }
--- a/src/test/java/sprucerock/controller/StoreScaleTest.java
+++ b/src/test/java/sprucerock/controller/StoreScaleTest.java
@@ -12,7 +12,7 @@
 import sprucerock.change.Change;
 import sprucerock.change.Changes;
 import sprucerock.change.Plan;
-import sprucerock.change.Relay;
+import sprucerock.change.ManagedRelay;
 import sprucerock.controller.v1.AgentSays;
 import sprucerock.controller.v1.Cast;
 import sprucerock.controller.v1.Input;
@@ -114,7 +114,7 @@
             }
 
             @Override
-            public void wants(Relay relay) {
+            public void wants(ManagedRelay relay) {
                 // not counted
             }
         }, what -> {
--- a/src/test/java/sprucerock/desk/AgentsDoorTest.java
+++ b/src/test/java/sprucerock/desk/AgentsDoorTest.java
@@ -12,7 +12,7 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import sprucerock.change.Relay;
+import sprucerock.change.ManagedRelay;
 import sprucerock.controller.Engine;
 import sprucerock.net.nio.NioLoop;
 import sprucerock.time.Span;
@@ -101,7 +101,7 @@
     private boolean known(int number, boolean silent) {
         CompletableFuture<Boolean> is = new CompletableFuture<>();
         desk.post(() -> {
-            Relay relay = desk.engine().changes().relay(number);
+            ManagedRelay relay = desk.engine().changes().relay(number);
             is.complete(relay != null && relay.silent() == silent);
         });
         return is.join();
--- a/src/test/java/sprucerock/scale/ControllerScaleTest.java
+++ b/src/test/java/sprucerock/scale/ControllerScaleTest.java
@@ -12,7 +12,7 @@
 import sprucerock.change.Change;
 import sprucerock.change.Changes;
 import sprucerock.change.Plan;
-import sprucerock.change.Relay;
+import sprucerock.change.ManagedRelay;
 import sprucerock.change.Verdict;
 import sprucerock.change.Version;
 import sprucerock.controller.Release;
@@ -42,7 +42,7 @@
     /** So many relays in three zones that run the old version, settled on it, whose agents do what is wanted. */
     private static final class Fleet implements Changes.Host {
         private final Changes changes = new Changes(PLAN, this);
-        private final ArrayDeque<Relay> wants = new ArrayDeque<>();
+        private final ArrayDeque<ManagedRelay> wants = new ArrayDeque<>();
         private double now = 1000;
         private long words;
 
@@ -70,7 +70,7 @@
 
         void obey() {
             while (!wants.isEmpty()) {
-                Relay next = wants.poll();
+                ManagedRelay next = wants.poll();
                 now += 1;
                 says(next.number, next.wanted(), false, next.turn());
                 says(next.number, next.wanted(), true, next.turn());
@@ -83,7 +83,7 @@
         }
 
         @Override
-        public void wants(Relay relay) {
+        public void wants(ManagedRelay relay) {
             wants.add(relay);
         }
     }
