A withdrawn build that discovery still lists gets nothing once the next is offered

Cause: onTrial knows the offered build and later ones, so a build that went back counted as the newest one off trial as soon as the next was named, and choose stays with it while a unit of it can be taken. Ruled out: lists without the old units (66 known on all relays). Change: Policy notes a build told as going back or withdrawn when the next is offered, and sends there only where neither an earlier build nor one on trial within its cap takes the RPC. A relay that starts after the withdrawal is not told of it and is not helped.

--- a/src/main/java/sprucerock/Policy.java
+++ b/src/main/java/sprucerock/Policy.java
@@ -23,6 +23,7 @@
     private final Settings settings;
     private final Chance chance;
     private final TreeMap<Integer, Build> builds = new TreeMap<>();
+    private final Set<Integer> withdrawn = new TreeSet<>(); // that discovery may list on
     private Offer offer;
     private Standing standing;
     private double cap;
@@ -100,7 +101,10 @@
     }
 
     public void newsOfBuild(Build build, int stage, Standing newStanding, double newCap, Moment since) {
-        if (!isOffered(build)) offer = new Offer(build, settings.methods.size());
+        if (!isOffered(build)) {
+            noteWithdrawn();
+            offer = new Offer(build, settings.methods.size());
+        }
         if (offer.evidence == null || stage != offer.stage || newStanding != standing) {
             offer.enter(stage, since, newStanding == Standing.RELEASED);
             singles = (int) (Math.min(10, 40.0 / settings.relays) + chance.next()); // 40 by all: each harms
@@ -113,6 +117,13 @@
         consider();
     }
 
+    // A build that goes back is off trial once the next is offered, and newer than the one that serves. While
+    // discovery is silent its units stay listed, but they drain and stop: all traffic would go there.
+    private void noteWithdrawn() {
+        withdrawn.retainAll(builds.keySet()); // no more of them than builds are listed, and one
+        if (standing == Standing.GOING_BACK || standing == Standing.WITHDRAWN) withdrawn.add(offer.build.number);
+    }
+
     private boolean isOffered(Build build) {
         return offer != null && build.number == offer.build.number;
     }
@@ -375,7 +386,7 @@
             : waitMs > settings.meanSoftMs * (0.25 + 0.3 * worth);
     }
 
-    /** Of the newest build that is not on trial, else of an earlier one, else of one on trial too. */
+    /** Of the newest build that is not on trial, else of an earlier one, else of one on trial or withdrawn. */
     private Unit chooseAny(Rpc rpc) {
         Unit unit = choose(rpc, false);
         return unit != null ? unit : choose(rpc, true);
@@ -389,7 +400,9 @@
         for (Build build : builds.descendingMap().values()) {
             if (unit != null || pin != null && build.number < pin.number) break;
             boolean mayUse = trialToo || pin != null && build.number == pin.number;
-            if (!onTrial(build) || mayUse && mayTry(build, rpc.method, 1)) unit = chooseIn(rpc, build);
+            boolean mayServe = onTrial(build) ? mayUse && mayTry(build, rpc.method, 1)
+                : trialToo || !withdrawn.contains(build.number);
+            if (mayServe) unit = chooseIn(rpc, build);
         }
         return unit;
     }
