--- a/src/main/java/sprucerock/lab/ScaleRun.java
+++ b/src/main/java/sprucerock/lab/ScaleRun.java
@@ -37,7 +37,7 @@
     public enum Scene { MEAN, BURST, RACK, ZONE, MASS, VOTE, FREEZE, CONTROL, STALL }
 
     /**
-     * @param racks 1 to 300, as the controller's schema allows
+     * @param racks 1 to 300, which the controller's schema took when results began
      * @param units of all racks; they are counted in the racks and have no process
      * @param seconds of each scene that are measured, 10 at least, behind some for the start
      */
@@ -73,7 +73,7 @@
     private static final int DAY = 86_400;
 
     private static final int MOST_RELAYS = 10_000; // that a controller's ballots hold
-    private static final int MOST_RACKS = 300; // of its schema
+    private static final int MOST_RACKS = 300; // what its schema took when results began
     private static final int PER_PROCESS = 1000;
     private static final int SETTLE_SECONDS = 90; // to be linked at first, and to be in force at last
     private static final int SETTLE_LOOKS = 5; // two seconds apart
