--- a/src/main/java/sprucerock/cli/ServeCommand.java
+++ b/src/main/java/sprucerock/cli/ServeCommand.java
@@ -37,6 +37,7 @@
     CountDownLatch ended = new CountDownLatch(1);
     AtomicReference<String> wrong = new AtomicReference<>();
     Semaphore asks = new Semaphore(0);
+    FatalThreadHandler.install();
     try {
       PlatformConfig config = PlatformConfig.read(System.getenv());
       Logs.to(Logs.Form.PLAIN);
@@ -50,7 +51,8 @@
                 } else {
                   e.printStackTrace(System.err);
                 }
-              });
+              },
+              config.maxSockets());
       loop.post(
           () -> {
             try {
@@ -167,7 +169,7 @@
     try {
       PlatformConfig anew = PlatformConfig.read(System.getenv());
       loop.post(() -> serving.get().reload(anew));
-    } catch (ConfigException e) {
+    } catch (ConfigException | RuntimeException e) {
       loop.post(() -> serving.get().notReloaded(e.getMessage()));
     }
   }
--- a/src/main/java/sprucerock/relay/engine/RelayEngine.java
+++ b/src/main/java/sprucerock/relay/engine/RelayEngine.java
@@ -29,6 +29,15 @@
     RelayEvents create(RelayActions actions, Settings settings, long seed);
   }
 
+  /**
+   * Of the heap's size, for what clients' incomplete and open requests hold together;
+   * docs/CAPACITY.md has what the rest is for.
+   */
+  protected static final double REQUEST_MEMORY_SHARE = 1.0 / 4;
+
+  /** Of the heap's size, for answers on their way from endpoints to clients. */
+  protected static final double ANSWER_MEMORY_SHARE = 1.0 / 8;
+
   private static final byte[] NO_BODY = {};
 
   /** The event loop: its clock, timers and connections. */
@@ -156,6 +165,7 @@
     }
     requestTracker.attemptEnded(
         attempt, outcome, net.now().since(attempt.sentAt), answers || attempt.rpc.ended());
+    ((Request) attempt.rpc.attachment).attemptEnded();
   }
 
   /** Ends an attempt at the end of this turn of the loop, so that the policy is not re-entered. */
@@ -194,6 +204,7 @@
             : attempt.rpc.deadline.earlierOf(now.plus(attempt.timeout));
     AttemptExchange exchange = newExchange(attempt, deadline);
     attempt.attachment = exchange;
+    ((Request) attempt.rpc.attachment).attemptBegan();
     exchange.setTimeoutTimer(net.at(deadline, () -> timedOut(exchange)));
     boolean isMoot =
         attempt.rpc.ended()
--- a/src/main/java/sprucerock/relay/engine/Request.java
+++ b/src/main/java/sprucerock/relay/engine/Request.java
@@ -13,6 +13,9 @@
 
   private final List<Timer> timers = new ArrayList<>(USUAL_TIMERS);
   private long requestId;
+  private boolean isComplete;
+  private boolean isReleased;
+  private int attemptsOut;
 
   /** The relay's own id of the request, from 1 upwards; 0 until the engine has taken it. */
   public final long requestId() {
@@ -28,6 +31,22 @@
     timers.add(timer);
   }
 
+  final void attemptBegan() {
+    attemptsOut++;
+  }
+
+  final void attemptEnded() {
+    attemptsOut--;
+    releaseIfUnused();
+  }
+
+  private void releaseIfUnused() {
+    if (isComplete && attemptsOut == 0 && !isReleased) {
+      isReleased = true;
+      released();
+    }
+  }
+
   /**
    * The request has its answer or its client left. Cancels its timers, which would otherwise hold
    * it in memory until its deadline. Subclasses release what else they hold, and call this.
@@ -37,5 +56,13 @@
       timer.cancel();
     }
     timers.clear();
+    isComplete = true;
+    releaseIfUnused();
   }
+
+  /**
+   * The request is complete and none of its attempts is out: what they were made from is not needed
+   * any more. Called once.
+   */
+  protected void released() {}
 }
--- a/src/main/java/sprucerock/relay/platform/ClientListener.java
+++ b/src/main/java/sprucerock/relay/platform/ClientListener.java
@@ -12,14 +12,16 @@
 import sprucerock.relay.engine.EventLog;
 import sprucerock.time.TimeSpan;
 import sprucerock.time.Timestamp;
+import sprucerock.transport.net.BufferBudget;
 import sprucerock.transport.net.Net;
+import sprucerock.transport.net.Timers.Timer;
 
 /**
  * Where clients come in. Their number is bounded: when full, one that never spoke or stands idle
  * gives way, else a new one does.
  */
 final class ClientListener {
-  /** What the door needs of the relay. */
+  /** What the listener needs of the relay. */
   interface Owner {
     void arrived(PlatformRequest asked);
 
@@ -38,6 +40,8 @@
   private final EventLog events;
   private final Owner owner;
   private final Map<String, Method> methods;
+  private final BufferBudget commandBudget;
+  private final BufferBudget answerBudget;
   private final int enough;
   private final int most;
   private final Set<PlatformClientConnection> connections = new LinkedHashSet<>();
@@ -48,14 +52,24 @@
 
   /**
    * {@code enough}: beyond it quiet ones give way, so that clients with a bound of their own can
-   * come; {@code most} is never passed.
+   * come; {@code most} is never passed. {@code commandBudget}: what all clients' commands may hold;
+   * {@code answerBudget}: the same for their answers.
    */
   ClientListener(
-      Net net, EventLog events, Owner owner, Map<String, Method> methods, int enough, int most) {
+      Net net,
+      EventLog events,
+      Owner owner,
+      Map<String, Method> methods,
+      BufferBudget commandBudget,
+      BufferBudget answerBudget,
+      int enough,
+      int most) {
     this.net = net;
     this.events = events;
     this.owner = owner;
     this.methods = methods;
+    this.commandBudget = commandBudget;
+    this.answerBudget = answerBudget;
     this.enough = enough;
     this.most = most;
   }
@@ -88,10 +102,10 @@
     return connections.size();
   }
 
-  /** It was taken. */
-  void up(PlatformClientConnection connection) {
+  /** It was accepted. */
+  void connected(PlatformClientConnection connection) {
     if (connections.size() > enough) {
-      later(() -> makeRoom(connection));
+      atTurnsEnd(() -> makeRoom(connection));
     }
   }
 
@@ -105,7 +119,7 @@
     PlatformClientConnection goes = quietest(newest);
     if (goes != null) {
       goes.giveWay();
-    } else if (connections.size() > most && newest.quietFor(TimeSpan.ZERO)) {
+    } else if (connections.size() > most && newest.isQuietFor(TimeSpan.ZERO)) {
       newest.giveWay();
     }
   }
@@ -113,12 +127,12 @@
   private PlatformClientConnection quietest(PlatformClientConnection but) {
     PlatformClientConnection found = null;
     for (PlatformClientConnection connection : connections) {
-      if (connection == but || !connection.quietFor(SPEAKS)) {
+      if (connection == but || !connection.isQuietFor(SPEAKS)) {
         continue;
       }
       if (found == null
-          || connection.never() && !found.never()
-          || connection.never() == found.never()
+          || !connection.isStarted() && found.isStarted()
+          || connection.isStarted() == found.isStarted()
               && connection.quietSince().ms() < found.quietSince().ms()) {
         found = connection;
       }
@@ -128,7 +142,7 @@
 
   private void look() {
     for (PlatformClientConnection connection : new ArrayList<>(connections)) {
-      connection.look(PATIENCE);
+      connection.checkSilence(PATIENCE);
     }
     // not only as one comes: clients that have reached a bound of their own send none
     int over = connections.size() - enough;
@@ -148,39 +162,57 @@
     return net.previousTurnStart();
   }
 
-  void later(Runnable what) {
-    net.atTurnsEnd(what);
+  void atTurnsEnd(Runnable action) {
+    net.atTurnsEnd(action);
   }
 
-  Statement read(byte[] text) throws Statement.UnreadableException {
-    return Statement.read(text, methods);
+  /** Runs an action after a time that a loop which stood still does not shorten. */
+  Timer afterSilence(TimeSpan time, Runnable action) {
+    return net.stallTolerantTimeout(time, action);
+  }
+
+  void after(TimeSpan time, Runnable action) {
+    net.at(net.now().plus(time), action);
+  }
+
+  BufferBudget.Account openAccount(BufferBudget.Holder holder) {
+    return commandBudget.open(holder);
+  }
+
+  /** Whether answers of units wait for memory, which clients that do not read hold. */
+  boolean answersWaitForMemory() {
+    return answerBudget.hasWaiting();
+  }
+
+  Statement parse(byte[] bytes, int length) throws Statement.UnreadableException {
+    return Statement.read(bytes, length, methods);
   }
 
   /** Null where it may be asked; else why not. */
-  String take(PlatformRequest asked) {
+  String open(PlatformRequest asked) {
     if (open.putIfAbsent(asked.statement.id, asked) == null) {
       return null;
     }
     return "a request of the same id is open";
   }
 
-  void over(PlatformRequest asked) {
+  void closeRequest(PlatformRequest asked) {
     open.remove(asked.statement.id, asked);
   }
 
-  void arrived(PlatformRequest asked) {
+  void requestArrived(PlatformRequest asked) {
     owner.arrived(asked);
   }
 
-  void left(PlatformRequest asked) {
+  void clientLeft(PlatformRequest asked) {
     owner.left(asked);
   }
 
-  void refused(String why) {
+  void logRefusal(String why) {
     events.warn(EventLog.Event.CLIENT_REFUSED, why);
   }
 
-  void gone(PlatformClientConnection connection) {
+  void closed(PlatformClientConnection connection) {
     connections.remove(connection);
   }
 
@@ -194,7 +226,7 @@
     for (int i = 0; i < all.size(); i++) {
       net.at(
           net.now().plus(still.plus(last.minus(still).times((double) i / all.size()))),
-          all.get(i)::leaveSoon);
+          all.get(i)::closeOnceIdle);
     }
     net.at(net.now().plus(still), listener::close);
     net.at(
@@ -202,7 +234,7 @@
         () -> {
           leaving = true;
           for (PlatformClientConnection connection : new ArrayList<>(connections)) {
-            connection.leaveSoon();
+            connection.closeOnceIdle();
           }
         });
   }
@@ -211,16 +243,16 @@
   void refuse() {
     refusing = true;
     for (PlatformClientConnection connection : new ArrayList<>(connections)) {
-      connection.leaveNow();
+      connection.closeNow();
     }
   }
 
-  boolean refuses() {
+  boolean isRefusing() {
     return refusing;
   }
 
   /** The relay's time is over: what is open gets an answer that promises nothing. */
-  List<PlatformRequest> open() {
+  List<PlatformRequest> openRequests() {
     return new ArrayList<>(open.values());
   }
 }
--- a/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
@@ -5,8 +5,10 @@
 import sprucerock.relay.engine.RequestOutcome;
 import sprucerock.time.TimeSpan;
 import sprucerock.time.Timestamp;
+import sprucerock.transport.net.BufferBudget;
 import sprucerock.transport.net.Connection;
 import sprucerock.transport.net.ConnectionListener;
+import sprucerock.transport.net.Timers.Timer;
 import sprucerock.transport.postgres.MessageFramer;
 import sprucerock.transport.postgres.MessageReader;
 import sprucerock.transport.postgres.MessageWriter;
@@ -14,106 +16,139 @@
 
 /**
  * A client's connection: one command at a time, answered in order; a bounded number wait behind it.
+ * What it holds of commands and open requests counts against the budget of all clients. Without
+ * room there, it is not read for a while, and then ended as refused.
  */
-final class PlatformClientConnection implements ConnectionListener, MessageFramer.Listener {
-  private static final int MESSAGE = 160 * 1024;
-  // a value of 64 KiB in hexadecimal, and its statement
-  private static final int WAITING = 32;
-  // commands; clients that send one behind another stay far below it
-  private static final int WAITING_BYTES = 256 * 1024;
+final class PlatformClientConnection
+    implements ConnectionListener, MessageFramer.Listener, BufferBudget.Holder {
+  /** A value of 64 KiB in hexadecimal, and its statement. */
+  private static final int MAX_COMMAND_BYTES = 160 * 1024;
+
+  /** Clients that send one command behind another stay far below it. */
+  private static final int MAX_WAITING_COMMANDS = 32;
+
+  private static final int MAX_WAITING_BYTES = 256 * 1024;
+
+  /** Well below half of the shortest deadlines: a refusal that comes later is worth less. */
+  private static final TimeSpan MAX_MEMORY_WAIT = TimeSpan.ofMs(250);
+
+  /** A client in the middle of a message that sends nothing for so long has read why it ends. */
+  private static final TimeSpan LINGER = TimeSpan.ofMs(250);
+
+  private static final int MAX_LINGERS = 8;
+
   private static final byte[] WELCOME = MessageWriter.sessionStart();
   private static final byte[] NO_ENCRYPTION = {'N'};
 
   private record Command(char type, byte[] body) {}
 
-  /**
-   * PARTING: it closes between two commands, unless one was read before it is closed. ENDING:
-   * nothing more is taken.
-   */
-  private enum At {
+  private enum State {
     OPEN,
-    PARTING,
+    /** It closes between two commands, unless one was read before it is closed. */
+    CLOSING_IF_IDLE,
+    /** Nothing more is taken. */
     ENDING,
     CLOSED
   }
 
-  private final ClientListener door;
-  private final MessageFramer in = MessageFramer.fromClient(MESSAGE);
+  private final ClientListener owner;
+  private final BufferBudget.Account account;
+  private final MessageFramer framer;
   private final ArrayDeque<Command> waiting = new ArrayDeque<>();
-  private final Timestamp cameAt;
+  private final Timestamp acceptedAt;
   private int waitingBytes;
   private Connection connection;
   private boolean started;
-  private boolean asked;
-  private At at = At.OPEN;
+  private boolean hasAsked;
+  private State state = State.OPEN;
 
   /** It is to close between two commands. */
-  private boolean leaves;
+  private boolean isLeaving;
 
   private PlatformRequest open;
   private Timestamp partialSince;
+  private Timestamp lastReceivedAt;
   private Timestamp quietSince;
 
-  /** {@code leaves}: it came as the relay was about to end, and is served once. */
-  PlatformClientConnection(ClientListener door, Timestamp now, boolean leaves) {
-    this.door = door;
-    this.leaves = leaves;
-    cameAt = now;
+  /** Ends the wait for memory; null while it does not wait. */
+  private Timer memoryTimer;
+
+  /** Why it is ended as refused once what it is owed is answered; null: it is not. */
+  private String refusal;
+
+  private long unsentBefore;
+  private Timestamp unsentSince;
+
+  /** {@code isLeaving}: it came as the relay was about to end, and is served once. */
+  PlatformClientConnection(ClientListener owner, Timestamp now, boolean isLeaving) {
+    this.owner = owner;
+    this.isLeaving = isLeaving;
+    account = owner.openAccount(this);
+    framer = MessageFramer.fromClient(MAX_COMMAND_BYTES, account::tryHold);
+    acceptedAt = now;
+    lastReceivedAt = now;
     quietSince = now;
   }
 
   @Override
   public void connected(Connection made) {
     connection = made;
-    door.up(this);
+    owner.connected(this);
   }
 
   @Override
   public boolean wantsMore() {
-    return at == At.OPEN;
+    return state == State.OPEN;
   }
 
   @Override
   public void received(ByteBuffer bytes) {
-    if (at == At.PARTING) {
-      at = At.OPEN;
+    if (state == State.CLOSING_IF_IDLE) {
       // it crossed the close, which is taken back
+      state = State.OPEN;
     }
-    if (!wantsMore()) {
+    lastReceivedAt = owner.now();
+    if (!wantsMore() || refusal != null) {
       return;
     }
     try {
-      in.feed(bytes, this);
-      if (!in.isPartial()) {
-        partialSince = null;
-      } else if (partialSince == null) {
-        partialSince = door.now();
-      }
-      pump();
-      if (leaves) {
-        leaveSoon();
+      framer.feed(bytes, this);
+      notePartialMessage();
+      processWaiting();
+      if (isLeaving) {
+        closeOnceIdle();
       }
+      updateMemoryWait();
     } catch (ProtocolException e) {
       end("08P01", e.getMessage());
     }
   }
 
+  private void notePartialMessage() {
+    if (!framer.isPartial() || framer.isBlocked()) {
+      partialSince = null; // or it is this relay that does not read on
+    } else if (partialSince == null) {
+      partialSince = owner.now();
+    }
+  }
+
   @Override
   public void onMessage(char type, byte[] body) throws ProtocolException {
     if (type == 0) {
+      account.release(body.length);
       startup(body);
       return;
     }
     waitingBytes += body.length;
-    if (waiting.size() >= WAITING || waitingBytes > WAITING_BYTES) {
+    waiting.add(new Command(type, body));
+    if (waiting.size() > MAX_WAITING_COMMANDS || waitingBytes > MAX_WAITING_BYTES) {
       throw new ProtocolException(
           "more than "
-              + WAITING
+              + MAX_WAITING_COMMANDS
               + " commands or "
-              + WAITING_BYTES
+              + MAX_WAITING_BYTES
               + " bytes wait on one connection");
     }
-    waiting.add(new Command(type, body));
   }
 
   private void startup(byte[] body) throws ProtocolException {
@@ -122,60 +157,154 @@
       case CANCEL -> end(null, "cancels nothing here");
       default -> {
         started = true;
-        in.startupComplete();
+        framer.startupComplete();
         connection.append(WELCOME);
       }
     }
   }
 
+  // Memory.
+
+  /** Stops reading while the next command has to wait for room; reads on once it has. */
+  private void updateMemoryWait() {
+    if (!wantsMore() || !framer.isBlocked()) {
+      cancelMemoryTimer();
+      return;
+    }
+    connection.pauseReading();
+    if (memoryTimer == null) {
+      memoryTimer = owner.afterSilence(MAX_MEMORY_WAIT, () -> refuse("no memory for its command"));
+    }
+  }
+
+  private void cancelMemoryTimer() {
+    if (memoryTimer != null) {
+      memoryTimer.cancel();
+      memoryTimer = null;
+    }
+  }
+
+  @Override
+  public void roomAvailable() {
+    connection.resumeReading();
+  }
+
+  @Override
+  public Timestamp incompleteSince() {
+    return framer.admittedBytes() > 0 ? lastReceivedAt : null;
+  }
+
+  @Override
+  public void evict() {
+    refuse("its command stays incomplete and others wait for memory");
+  }
+
+  /**
+   * Ends it as refused, as its last command was not taken: once what was taken before has its
+   * answer, which the error would be mistaken for.
+   */
+  private void refuse(String why) {
+    if (!wantsMore() || refusal != null) {
+      return;
+    }
+    refusal = why + "; trying again is harmless";
+    releasePartialMessage();
+    connection.resumeReading(); // what comes is dropped
+    endIfRefused();
+  }
+
+  private void endIfRefused() {
+    if (refusal != null && wantsMore() && open == null && waiting.isEmpty()) {
+      end("53300", refusal);
+    }
+  }
+
+  private void releasePartialMessage() {
+    cancelMemoryTimer();
+    account.stopWaiting();
+    account.release(framer.admittedBytes());
+    framer.discard();
+    partialSince = null;
+  }
+
+  private void releaseWaitingCommands() {
+    account.release(waitingBytes);
+    waitingBytes = 0;
+    waiting.clear();
+  }
+
+  // Commands and answers.
+
   /** Takes up what waits, unless a command is being answered. */
-  private void pump() throws ProtocolException {
+  private void processWaiting() throws ProtocolException {
     while (wantsMore() && open == null && !waiting.isEmpty()) {
       Command next = waiting.poll();
       waitingBytes -= next.body.length;
+      if (next.type == 'Q') {
+        query(next.body);
+        continue;
+      }
+      account.release(next.body.length);
       if (next.type == 'X') {
         end(null, "client said goodbye");
-      } else if (next.type == 'Q') {
-        query(MessageReader.parseQuery(next.body));
       } else {
         throw new ProtocolException(
             "only simple queries are served here, not a message of type " + next.type);
       }
     }
+    endIfRefused();
   }
 
-  private void query(byte[] text) {
-    asked = true;
-    quietSince = door.now();
-    if (blank(text)) {
-      answered(MessageWriter.emptyQueryResponse());
+  /** Takes a query; its bytes are released with the request, or here if none is made of it. */
+  private void query(byte[] body) throws ProtocolException {
+    int length;
+    try {
+      length = MessageReader.queryLength(body);
+    } catch (ProtocolException e) {
+      account.release(body.length);
+      throw e;
+    }
+    hasAsked = true;
+    quietSince = owner.now();
+    PlatformRequest request = openRequest(body, length);
+    if (request == null) {
+      account.release(body.length);
       return;
     }
-    if (door.refuses()) {
+    open = request;
+    owner.requestArrived(request);
+  }
+
+  /** The request that a query makes; null if it is answered at once. */
+  private PlatformRequest openRequest(byte[] body, int length) {
+    if (isBlank(body, length)) {
+      answered(MessageWriter.emptyQueryResponse());
+      return null;
+    }
+    if (owner.isRefusing()) {
       answered(
           MessageWriter.errorResponse(
               "ERROR", "57P03", "the relay is ending; trying again is harmless", null));
-      return;
+      return null;
     }
-    String wrong;
+    String error;
     try {
-      Statement statement = door.read(text);
-      PlatformRequest made = new PlatformRequest(this, statement);
-      wrong = door.take(made);
-      if (wrong == null) {
-        open = made;
-        door.arrived(made);
-        return;
+      PlatformRequest request = new PlatformRequest(this, owner.parse(body, length), body.length);
+      error = owner.open(request);
+      if (error == null) {
+        return request;
       }
     } catch (Statement.UnreadableException e) {
-      wrong = e.getMessage();
+      error = e.getMessage();
     }
-    door.refused(wrong);
-    answered(MessageWriter.errorResponse("ERROR", "42601", wrong, null));
+    owner.logRefusal(error);
+    answered(MessageWriter.errorResponse("ERROR", "42601", error, null));
+    return null;
   }
 
-  private static boolean blank(byte[] text) {
-    for (byte b : text) {
+  private static boolean isBlank(byte[] text, int length) {
+    for (int i = 0; i < length; i++) {
+      byte b = text[i];
       if (b != ' ' && b != ';' && b != '\n' && b != '\r' && b != '\t') {
         return false;
       }
@@ -188,20 +317,20 @@
       connection.append(message);
     }
     connection.append(MessageWriter.readyForQuery());
-    quietSince = door.now();
-    if (leaves) {
-      leaveSoon();
+    quietSince = owner.now();
+    if (isLeaving) {
+      closeOnceIdle();
     }
   }
 
   /** The one final answer; none goes to a client that left. */
-  void answer(PlatformRequest one, RequestOutcome ending, TimeSpan wait, byte[] body) {
-    one.complete();
-    if (!wantsMore() || open != one) {
+  void answer(PlatformRequest request, RequestOutcome outcome, TimeSpan wait, byte[] body) {
+    request.complete();
+    if (!wantsMore() || open != request) {
       return;
     }
     open = null;
-    switch (ending) {
+    switch (outcome) {
       case OK -> answered(body);
       case REJECTED ->
           answered(
@@ -213,88 +342,118 @@
       default ->
           answered(MessageWriter.errorResponse("ERROR", "58000", "no unit gave an answer", null));
     }
-    if (!waiting.isEmpty()) {
-      door.later(
-          () -> {
-            // not while the module acts
-            try {
-              pump();
-            } catch (ProtocolException e) {
-              end("08P01", e.getMessage());
-            }
-          });
+    if (!waiting.isEmpty() || refusal != null) {
+      owner.atTurnsEnd(this::processNext); // not while the policy acts
+    }
+  }
+
+  private void processNext() {
+    try {
+      processWaiting();
+    } catch (ProtocolException e) {
+      end("08P01", e.getMessage());
     }
   }
 
-  void over(PlatformRequest one) {
-    door.over(one);
+  /** The request has its answer. */
+  void requestCompleted(PlatformRequest request) {
+    owner.closeRequest(request);
   }
 
+  /** Neither the request nor an attempt of it needs its bytes any more. */
+  void requestReleased(int bytes) {
+    account.release(bytes);
+  }
+
+  // The end of the connection.
+
   /**
    * Says why, unless {@code code} is null, and closes; an RPC that is open has that as its answer.
    */
   private void end(String code, String why) {
-    if (at != At.OPEN) {
+    if (state != State.OPEN) {
       return;
     }
     if (code != null) {
-      door.refused(why);
+      owner.logRefusal(why);
       connection.append(MessageWriter.errorResponse("FATAL", code, why, null));
     }
-    at = At.ENDING;
-    waiting.clear();
-    leave();
-    connection.finish();
+    state = State.ENDING;
+    releasePartialMessage();
+    releaseWaitingCommands();
+    abandonOpenRequest();
+    if (refusal != null) {
+      // guards against a reset that overtakes the error, as bytes that are not read cause one
+      connection.resumeReading();
+      finishOnceSilent(MAX_LINGERS);
+    } else {
+      connection.finish();
+    }
+  }
+
+  private void finishOnceSilent(int lingersLeft) {
+    Timestamp since = owner.now();
+    owner.after(
+        LINGER,
+        () -> {
+          if (lastReceivedAt.after(since) && lingersLeft > 1) {
+            finishOnceSilent(lingersLeft - 1);
+          } else {
+            connection.finish();
+          }
+        });
   }
 
   /**
    * Closes between two commands. What the client sent and was not read it asks elsewhere; what was
    * read is served first.
    */
-  private void part() {
-    at = At.PARTING;
+  private void closeIfIdle() {
+    state = State.CLOSING_IF_IDLE;
     connection.finishUnlessReceived();
   }
 
-  private void leave() {
+  private void abandonOpenRequest() {
     if (open == null) {
       return;
     }
-    PlatformRequest gone = open;
+    PlatformRequest abandoned = open;
     open = null;
-    door.left(gone);
+    owner.clientLeft(abandoned);
   }
 
   @Override
   public void closed(String why) {
-    at = At.CLOSED;
-    waiting.clear();
-    leave();
-    door.gone(this);
+    state = State.CLOSED;
+    releasePartialMessage();
+    releaseWaitingCommands();
+    abandonOpenRequest();
+    owner.closed(this);
   }
 
   /** Nothing is being asked on it, and nothing has been for so long. */
-  boolean quietFor(TimeSpan time) {
+  boolean isQuietFor(TimeSpan time) {
     return wantsMore()
         && open == null
-        && !in.isPartial()
+        && !framer.isPartial()
         && waiting.isEmpty()
-        && !time.over(door.now().since(quietSince));
+        && refusal == null
+        && !time.over(owner.now().since(quietSince));
   }
 
   Timestamp quietSince() {
     return quietSince;
   }
 
-  boolean never() {
-    return !started;
+  boolean isStarted() {
+    return started;
   }
 
   /** Closes as soon as nothing is asked on it. */
-  void leaveSoon() {
-    leaves = true;
-    if (asked && quietFor(TimeSpan.ZERO)) {
-      part();
+  void closeOnceIdle() {
+    isLeaving = true;
+    if (hasAsked && isQuietFor(TimeSpan.ZERO)) {
+      closeIfIdle();
     }
   }
 
@@ -302,33 +461,47 @@
    * The relay's time is over: what was asked has its answer by now, what comes is refused, and half
    * a command is no request.
    */
-  void leaveNow() {
-    leaves = true;
+  void closeNow() {
+    isLeaving = true;
     if (wantsMore() && open == null && waiting.isEmpty()) {
-      part();
+      closeIfIdle();
     }
   }
 
   /** It gives way to others: between two commands in good order, one that never asked is told. */
   void giveWay() {
-    door.refused("too many connections");
-    if (asked) {
-      part();
+    owner.logRefusal("too many connections");
+    if (hasAsked) {
+      closeIfIdle();
     } else {
       end("53300", "too many connections");
     }
   }
 
   /**
-   * Ends it if it says nothing, or stays within a message, for too long. Guards against a loop that
-   * stood still, and takes for silence what it has not heard yet.
+   * Ends it if it says nothing or stays within a message for too long, or does not read while other
+   * answers wait for memory. Guards against a loop that stood still, and takes for silence what it
+   * has not heard yet.
    */
-  void look(TimeSpan patience) {
-    Timestamp heard = door.heardUpTo();
-    if (!asked && open == null && heard.since(cameAt).over(patience)) {
-      end("08P01", "nothing was asked for " + patience.ms() + " ms");
-    } else if (partialSince != null && heard.since(partialSince).over(patience)) {
-      end("08P01", "a message was begun and not ended for " + patience.ms() + " ms");
+  void checkSilence(TimeSpan limit) {
+    Timestamp heardUpTo = owner.heardUpTo();
+    if (!hasAsked && open == null && heardUpTo.since(acceptedAt).over(limit)) {
+      end("08P01", "nothing was asked for " + limit.ms() + " ms");
+    } else if (partialSince != null && heardUpTo.since(partialSince).over(limit)) {
+      end("08P01", "a message was begun and not ended for " + limit.ms() + " ms");
+    } else if (owner.answersWaitForMemory() && hasUnsentFor(limit)) {
+      connection.cut("does not read what it is sent");
+    }
+  }
+
+  /** Whether the client has taken nothing of what waits for it for so long. */
+  private boolean hasUnsentFor(TimeSpan limit) {
+    long unsent = connection == null ? 0 : connection.unsentBytes();
+    if (unsent == 0 || unsent != unsentBefore) {
+      unsentBefore = unsent;
+      unsentSince = owner.now();
+      return false;
     }
+    return owner.heardUpTo().since(unsentSince).over(limit);
   }
 }
--- a/src/main/java/sprucerock/relay/platform/PlatformConfig.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformConfig.java
@@ -21,8 +21,10 @@
 public final class PlatformConfig {
   private static final int LEAST_SOCKETS =
       80; // ten for units, beside what clients and the relay itself have (Serving)
-  private static final int MOST =
-      8 * 1024 * 1024; // thousands of units and relays are some hundred KiB
+  private static final long MAX_FILE_BYTES = 8 * 1024 * 1024;
+
+  /** Of the heap's size: what is read of a file takes some ten times its bytes for a moment. */
+  private static final double FILE_SHARE = 1.0 / 24;
 
   final String name;
   final InetSocketAddress listen;
@@ -110,9 +112,13 @@
     }
     Path file = Path.of(named);
     try {
-      if (Files.size(file) > MOST) {
+      long most = Math.min(MAX_FILE_BYTES, (long) (Runtime.getRuntime().maxMemory() * FILE_SHARE));
+      if (Files.size(file) > most) {
         throw new ConfigException(
-            file + ": more than " + MOST + " bytes; a configuration is far smaller");
+            file
+                + ": more than "
+                + most
+                + " bytes, which is all that this heap has room for; name fewer units in known");
       }
       return of(file, Files.readAllBytes(file), environment);
     } catch (IOException e) {
@@ -121,6 +127,11 @@
     }
   }
 
+  /** How many descriptors the relay may hold. */
+  public int maxSockets() {
+    return sockets;
+  }
+
   static PlatformConfig of(Path file, byte[] json, Map<String, String> environment)
       throws ConfigException, IOException {
     JsonNode root = new ObjectMapper().readTree(json);
--- a/src/main/java/sprucerock/relay/platform/PlatformConnectionPool.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformConnectionPool.java
@@ -9,6 +9,7 @@
 import sprucerock.model.Endpoint;
 import sprucerock.time.TimeSpan;
 import sprucerock.time.Timestamp;
+import sprucerock.transport.net.BufferBudget;
 import sprucerock.transport.net.Timers.Timer;
 
 /**
@@ -35,6 +36,14 @@
     this.doors = doors;
   }
 
+  BufferBudget.Account openAccount(BufferBudget.Holder holder) {
+    return doors.openAccount(holder);
+  }
+
+  Timestamp now() {
+    return doors.now();
+  }
+
   Timestamp clock() {
     return doors.clock();
   }
--- a/src/main/java/sprucerock/relay/platform/PlatformConnectionPools.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformConnectionPools.java
@@ -9,6 +9,7 @@
 import sprucerock.relay.engine.EventLog;
 import sprucerock.time.TimeSpan;
 import sprucerock.time.Timestamp;
+import sprucerock.transport.net.BufferBudget;
 import sprucerock.transport.net.Net;
 import sprucerock.transport.net.Timers.Timer;
 
@@ -34,6 +35,7 @@
   private final Net net;
   private final EventLog events;
   private final Owner owner;
+  private final BufferBudget answerBudget;
   private final int most;
   private final TimeSpan keepIdle;
   private final TimeSpan connectWithin;
@@ -44,12 +46,22 @@
 
   private int open;
 
-  /** {@code idleEnds}: units close what stands idle for so long; here it is closed well before. */
+  /**
+   * {@code answerBudget}: what all units' answers may hold; {@code idleEnds}: units close what
+   * stands idle for so long; here it is closed well before.
+   */
   PlatformConnectionPools(
-      Net net, EventLog events, Owner owner, int most, TimeSpan idleEnds, TimeSpan connectWithin) {
+      Net net,
+      EventLog events,
+      Owner owner,
+      BufferBudget answerBudget,
+      int most,
+      TimeSpan idleEnds,
+      TimeSpan connectWithin) {
     this.net = net;
     this.events = events;
     this.owner = owner;
+    this.answerBudget = answerBudget;
     this.most = most;
     // two thirds: a query must not cross the other side's close, which would end it as broken
     keepIdle = idleEnds.times(2.0 / 3);
@@ -79,6 +91,10 @@
     return open;
   }
 
+  BufferBudget.Account openAccount(BufferBudget.Holder holder) {
+    return answerBudget.open(holder);
+  }
+
   Timestamp now() {
     return net.now();
   }
--- a/src/main/java/sprucerock/relay/platform/PlatformEndpointConnection.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformEndpointConnection.java
@@ -4,6 +4,7 @@
 import sprucerock.model.AttemptOutcome;
 import sprucerock.time.TimeSpan;
 import sprucerock.time.Timestamp;
+import sprucerock.transport.net.BufferBudget;
 import sprucerock.transport.net.Connection;
 import sprucerock.transport.net.ConnectionListener;
 import sprucerock.transport.net.Timers.Timer;
@@ -15,9 +16,11 @@
 /**
  * One connection to a unit, for one pick at a time. What comes is read strictly: an answer that is
  * not whole ends its pick as broken, and a connection on which anything came that was not asked for
- * is closed, as nobody can tell what follows.
+ * is closed, as nobody can tell what follows. What it holds of an answer counts against the budget
+ * of all answers; without room there, it is not read until there is some.
  */
-final class PlatformEndpointConnection implements ConnectionListener, MessageFramer.Listener {
+final class PlatformEndpointConnection
+    implements ConnectionListener, MessageFramer.Listener, BufferBudget.Holder {
   /**
    * SETTLING: answered and ready again, but what came behind the answer by now may still be on its
    * way.
@@ -43,7 +46,13 @@
   private static final byte[] STARTUP = MessageWriter.startupMessage("svc", "main");
 
   private final PlatformConnectionPool door;
-  private final MessageFramer in = MessageFramer.fromServer(MESSAGE);
+  private final BufferBudget.Account account;
+  private final MessageFramer in;
+  private Timestamp lastReceivedAt;
+
+  /** Bytes of messages that were read and are kept until the answer is complete. */
+  private int keptBytes;
+
   private Connection connection;
   private At at = At.STARTING;
   private boolean authenticated;
@@ -64,6 +73,8 @@
 
   PlatformEndpointConnection(PlatformConnectionPool door) {
     this.door = door;
+    account = door.openAccount(this);
+    in = MessageFramer.fromServer(MESSAGE, this::tryHold);
   }
 
   void connecting(Connection made) {
@@ -109,8 +120,7 @@
     }
     Timestamp clock = door.clock();
     if (next.mayStart(clock) && next.deadline().after(clock)) {
-      connection.append(
-          MessageWriter.query(next.statement().within(next.deadline().since(clock).ms())));
+      next.statement().writeQuery(connection, next.deadline().since(clock).ms());
       mark = connection.bytesWritten();
       door.written(next);
       return;
@@ -132,11 +142,15 @@
     if (closed) {
       return;
     }
+    lastReceivedAt = door.now();
     try {
       in.feed(bytes, this);
       if (closed) {
         return;
       }
+      if (in.isBlocked()) {
+        connection.pauseReading(); // until there is room, or nobody waits for the answer any more
+      }
       if ((at == At.IDLE || at == At.SETTLING || unsent()) && in.isPartial()) {
         throw new ProtocolException("something that was not asked for");
       }
@@ -177,8 +191,48 @@
   @Override
   public void onMessage(char type, byte[] body) throws ProtocolException {
     if (type == 'N' || type == 'S') {
+      account.release(body.length);
       return;
     }
+    keptBytes += body.length;
+    take(type, body);
+    if (column == null && row == null) {
+      releaseKept();
+    }
+  }
+
+  /** What is small never waits: it may be the rest of an answer whose row is held. */
+  private boolean tryHold(int bytes) {
+    if (bytes > BufferBudget.FREE_BYTES) {
+      return account.tryHold(bytes);
+    }
+    account.hold(bytes);
+    return true;
+  }
+
+  private void releaseKept() {
+    account.release(keptBytes);
+    keptBytes = 0;
+  }
+
+  @Override
+  public void roomAvailable() {
+    connection.resumeReading();
+  }
+
+  @Override
+  public Timestamp incompleteSince() {
+    return in.admittedBytes() > 0 ? lastReceivedAt : null;
+  }
+
+  @Override
+  public void evict() {
+    String why = "an answer that stays incomplete while others wait for memory";
+    door.spoilt(why);
+    cut(why);
+  }
+
+  private void take(char type, byte[] body) throws ProtocolException {
     switch (at) {
       case STARTING -> starting(type, body);
       case ASKED -> {
@@ -208,11 +262,7 @@
         expect(type, 'C');
         MessageReader.parseCommandTag(body);
         at = At.SERVED;
-        byte[] answer =
-            MessageWriter.concat(
-                MessageWriter.message('T', column),
-                MessageWriter.message('D', row),
-                MessageWriter.message('C', body));
+        byte[] answer = MessageWriter.singleRow(column, row, body);
         column = null;
         row = null;
         ended(AttemptOutcome.OK, answer);
@@ -264,6 +314,7 @@
     AttemptOutcome outcome =
         full(body) && at == At.ASKED ? AttemptOutcome.FULL : AttemptOutcome.ERROR;
     at = At.FAILED;
+    column = null;
     ended(outcome, new byte[0]);
   }
 
@@ -307,6 +358,12 @@
     if (leaves != null) {
       leaves.cancel();
     }
+    column = null;
+    row = null;
+    releaseKept();
+    account.stopWaiting();
+    account.release(in.admittedBytes());
+    in.discard();
     PgExchange open = exchange;
     exchange = null;
     // the last byte of a query that has not left proves that it never ran; after that nobody knows
--- a/src/main/java/sprucerock/relay/platform/PlatformRelay.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformRelay.java
@@ -17,7 +17,9 @@
 import sprucerock.stats.DeterministicRandom;
 import sprucerock.time.TimeSpan;
 import sprucerock.time.Timestamp;
+import sprucerock.transport.net.BufferBudget;
 import sprucerock.transport.net.Datagrams;
+import sprucerock.transport.net.MemoryLimit;
 import sprucerock.transport.net.Net;
 
 /**
@@ -52,8 +54,15 @@
   private static final TimeSpan ASK_AGAIN = TimeSpan.ofMs(500);
   // for a file on the own machine; the old addresses end within 1.5 s
   private static final TimeSpan HELD_UP = TimeSpan.ofMs(300);
+
   // the rules forgive less
 
+  /** Of a command that holds memory while others wait for some: refused, it does no harm. */
+  private static final TimeSpan CLIENT_STALL_LIMIT = TimeSpan.ofMs(100);
+
+  /** The same of an answer, whose request may have run and would fail. */
+  private static final TimeSpan ENDPOINT_STALL_LIMIT = TimeSpan.ofMs(1000);
+
   private final PlatformConfig config;
   private final DeterministicRandom chance;
   private final Runnable askSettings;
@@ -88,13 +97,30 @@
       methods.put(config.methodNames.get(method.index), method);
     }
     int forClients = (int) (config.sockets * CLIENTS);
+    BufferBudget commandBudget =
+        new BufferBudget(
+            net, MemoryLimit.ofHeap(REQUEST_MEMORY_SHARE, () -> 0), CLIENT_STALL_LIMIT);
+    BufferBudget answerBudget =
+        new BufferBudget(
+            net,
+            MemoryLimit.ofHeap(ANSWER_MEMORY_SHARE, net::unsentOnAccepted),
+            ENDPOINT_STALL_LIMIT);
     clients =
-        new ClientListener(net, events, this, methods, (int) (config.sockets * ENOUGH), forClients);
+        new ClientListener(
+            net,
+            events,
+            this,
+            methods,
+            commandBudget,
+            answerBudget,
+            (int) (config.sockets * ENOUGH),
+            forClients);
     endpoints =
         new PlatformConnectionPools(
             net,
             events,
             this,
+            answerBudget,
             config.sockets - forClients - OWN,
             settings.idleTimeout,
             config.connectWithin);
@@ -268,7 +294,7 @@
         now.plus(time.minus(MARGIN).atLeast(last)),
         () -> {
           clients.refuse();
-          for (PlatformRequest asked : clients.open()) {
+          for (PlatformRequest asked : clients.openRequests()) {
             abort(asked);
           }
         });
--- a/src/main/java/sprucerock/relay/platform/PlatformRequest.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformRequest.java
@@ -6,15 +6,24 @@
 final class PlatformRequest extends Request {
   final PlatformClientConnection client;
   final Statement statement;
+  private final int heldBytes;
 
-  PlatformRequest(PlatformClientConnection client, Statement statement) {
+  /** {@code heldBytes}: what the client's account holds for the statement. */
+  PlatformRequest(PlatformClientConnection client, Statement statement, int heldBytes) {
     this.client = client;
     this.statement = statement;
+    this.heldBytes = heldBytes;
   }
 
   @Override
   protected void complete() {
     super.complete();
-    client.over(this);
+    client.requestCompleted(this);
+  }
+
+  @Override
+  protected void released() {
+    statement.release();
+    client.requestReleased(heldBytes);
   }
 }
--- a/src/main/java/sprucerock/relay/platform/Statement.java
+++ b/src/main/java/sprucerock/relay/platform/Statement.java
@@ -8,6 +8,8 @@
 import java.util.regex.Pattern;
 import java.util.zip.CRC32;
 import sprucerock.model.Method;
+import sprucerock.transport.net.Connection;
+import sprucerock.transport.postgres.MessageWriter;
 
 /** A client's statement, understood: what its comment says, and what a unit is sent. */
 final class Statement {
@@ -22,6 +24,10 @@
 
   private static final int EXCERPT = 200; // enough to see what was meant
   private static final int VALUE = 64 * 1024;
+
+  /** Up to this size one copy is cheaper than more pieces to be written. */
+  private static final int MAX_COPIED_BYTES = 4096;
+
   private static final Pattern FORM =
       Pattern.compile(
           "(?:SELECT v FROM records WHERE k = '([0-9A-Za-z]{1,64}+)'"
@@ -37,32 +43,50 @@
   final Method method;
   final long key;
   final double deadlineMs;
-  private final byte[] text;
+
+  /** The text, and maybe more; the one copy of it that there is, however many attempts are made. */
+  private byte[] bytes;
+
+  private final int length;
   private final int from;
   private final int to;
 
   private Statement(
-      String id, Method method, long key, double deadlineMs, byte[] text, int from, int to) {
+      String id,
+      Method method,
+      long key,
+      double deadlineMs,
+      byte[] bytes,
+      int length,
+      int from,
+      int to) {
     this.id = id;
     this.method = method;
     this.key = key;
     this.deadlineMs = deadlineMs;
-    this.text = text;
+    this.bytes = bytes;
+    this.length = length;
     this.from = from;
     this.to = to;
   }
 
-  static Statement read(byte[] text, Map<String, Method> methods) throws UnreadableException {
-    String whole =
-        new String(text, StandardCharsets.ISO_8859_1); // a character a byte, so places are the same
+  /**
+   * Reads a statement.
+   *
+   * @param bytes begins with the text, and is kept
+   * @param length of the text
+   */
+  static Statement read(byte[] bytes, int length, Map<String, Method> methods)
+      throws UnreadableException {
+    Latin1Text whole = new Latin1Text(bytes, 0, length);
     Matcher form = FORM.matcher(whole);
     if (!form.matches()) {
       String start =
-          whole.substring(0, Math.min(whole.length(), EXCERPT)).replaceAll("[^ -~]", "?");
+          whole.subSequence(0, Math.min(length, EXCERPT)).toString().replaceAll("[^ -~]", "?");
       throw new UnreadableException("the statement is not of a form that is served here: " + start);
     }
-    String value = form.group(3);
-    if (value != null && (value.length() % 2 != 0 || value.length() > 2 * VALUE)) {
+    int valueLength = form.end(3) - form.start(3);
+    if (valueLength % 2 != 0 || valueLength > 2 * VALUE) {
       throw new UnreadableException("the value is no bytes in hexadecimal, " + VALUE + " at most");
     }
     Map<String, String> said = new HashMap<>();
@@ -106,7 +130,7 @@
       throw new UnreadableException("the comment has no idempotency key");
     }
     String key = form.group(1) != null ? form.group(1) : form.group(2);
-    return new Statement(id, method, number(key), deadline, text, from, to);
+    return new Statement(id, method, number(key), deadline, bytes, length, from, to);
   }
 
   private static long number(String key) {
@@ -120,11 +144,39 @@
 
   /** The same statement, for a unit that is waited for so long; nothing else of it is changed. */
   byte[] within(double ms) {
-    byte[] wait = Long.toString(Math.max(1, (long) ms)).getBytes(StandardCharsets.US_ASCII);
-    return ByteBuffer.allocate(from + wait.length + text.length - to)
-        .put(text, 0, from)
+    byte[] wait = waitDigits(ms);
+    return ByteBuffer.allocate(from + wait.length + length - to)
+        .put(bytes, 0, from)
         .put(wait)
-        .put(text, to, text.length - to)
+        .put(bytes, to, length - to)
         .array();
   }
+
+  private static byte[] waitDigits(double ms) {
+    return Long.toString(Math.max(1, (long) ms)).getBytes(StandardCharsets.US_ASCII);
+  }
+
+  /** Writes it as a query, for a unit that is waited for so long. A large value is not copied. */
+  void writeQuery(Connection connection, double ms) {
+    if (length <= MAX_COPIED_BYTES) {
+      connection.append(MessageWriter.query(within(ms)));
+      return;
+    }
+    byte[] wait = waitDigits(ms);
+    int restBytes = length - to;
+    byte[] rest =
+        ByteBuffer.allocate(wait.length + restBytes + 1)
+            .put(wait)
+            .put(bytes, to, restBytes)
+            .put((byte) 0)
+            .array();
+    connection.append(MessageWriter.queryHeader(from + wait.length + restBytes));
+    connection.append(bytes, 0, from);
+    connection.append(rest);
+  }
+
+  /** Drops the text: no attempt is written any more, and the RPC may be remembered for longer. */
+  void release() {
+    bytes = null;
+  }
 }
--- a/src/main/java/sprucerock/transport/net/Connection.java
+++ b/src/main/java/sprucerock/transport/net/Connection.java
@@ -1,6 +1,7 @@
 package sprucerock.transport.net;
 
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 
 /**
  * A byte stream to a peer. What is written in a turn goes out together at its end, in order. A peer
@@ -25,6 +26,15 @@
    */
   void append(byte[] bytes);
 
+  /**
+   * Writes a part of an array without copying it, where the connection can do so.
+   *
+   * @param bytes must not change any more
+   */
+  default void append(byte[] bytes, int offset, int length) {
+    append(Arrays.copyOfRange(bytes, offset, offset + length));
+  }
+
   /** The number of bytes written so far. */
   long bytesWritten();
 
@@ -34,6 +44,25 @@
    */
   long bytesHandedOver();
 
+  /** Written bytes that the system has not taken yet. */
+  default long unsentBytes() {
+    return bytesWritten() - bytesHandedOver();
+  }
+
+  /**
+   * Reads no more until {@link #resumeReading}. Called within {@link ConnectionListener#received}
+   * it has the bytes kept that the listener left there. A close by the peer goes unnoticed
+   * meanwhile. Not every kind of connection can.
+   */
+  default void pauseReading() {
+    throw new UnsupportedOperationException("this connection can't pause");
+  }
+
+  /** Passes on the bytes that were left, if any, and reads on; does nothing unless it paused. */
+  default void resumeReading() {
+    throw new UnsupportedOperationException("this connection can't pause");
+  }
+
   /** Closes once all that was written has gone out, or its time limit has passed. */
   void finish();
 
--- a/src/main/java/sprucerock/transport/net/Net.java
+++ b/src/main/java/sprucerock/transport/net/Net.java
@@ -58,6 +58,11 @@
    */
   Datagrams datagrams(InetSocketAddress address, Datagrams.Receiver receiver) throws IOException;
 
+  /** Bytes written on accepted connections that the system has not taken yet, in sum. */
+  default long unsentOnAccepted() {
+    return 0;
+  }
+
   /** A bound address. */
   interface Listener {
     /** The address, with the port that was chosen. */
--- a/src/main/java/sprucerock/transport/net/SimulatedNet.java
+++ b/src/main/java/sprucerock/transport/net/SimulatedNet.java
@@ -232,6 +232,10 @@
     private boolean closed;
     private boolean flushScheduled;
     private boolean finishing;
+    private boolean paused;
+
+    /** What came and was not passed on yet. */
+    private final ArrayDeque<ByteBuffer> unread = new ArrayDeque<>();
 
     End(ConnectionListener listener) {
       this.listener = listener;
@@ -286,9 +290,41 @@
     }
 
     private void deliver(byte[] bytes) {
-      if (peer != null && !peer.closed) {
-        peer.listener.received(ByteBuffer.wrap(bytes));
+      if (peer != null) {
+        peer.unread.add(ByteBuffer.wrap(bytes));
+        peer.passOn();
+      }
+    }
+
+    private void passOn() {
+      while (!closed && !paused && !unread.isEmpty()) {
+        ByteBuffer next = unread.peek();
+        listener.received(next);
+        if (!paused || !next.hasRemaining()) {
+          unread.poll();
+        }
+      }
+    }
+
+    @Override
+    public void pauseReading() {
+      paused = true;
+    }
+
+    @Override
+    public void resumeReading() {
+      if (paused) {
+        paused = false;
+        events.add(this::readOn);
+      }
+    }
+
+    /** The listener is called even without bytes: it may wait for more than these. */
+    private void readOn() {
+      if (!closed && !paused && unread.isEmpty()) {
+        listener.received(ByteBuffer.allocate(0));
       }
+      passOn();
     }
 
     @Override
--- a/src/main/java/sprucerock/transport/net/nio/NioConnection.java
+++ b/src/main/java/sprucerock/transport/net/nio/NioConnection.java
@@ -21,9 +21,14 @@
  * flight.
  */
 final class NioConnection implements Connection {
-  private static final int READ_BUFFER_BYTES = 16 * 1024;
   private static final int MAX_GATHERED_BUFFERS = 16;
 
+  /**
+   * Of one write. The system's binding copies what is written into direct memory first, which is
+   * scarcer than the heap.
+   */
+  private static final int MAX_GATHERED_BYTES = 128 * 1024;
+
   /** A peer that reads takes some bytes in far less; others are cut. */
   private static final TimeSpan FINISH_PERIOD = TimeSpan.ofMs(2000);
 
@@ -35,6 +40,9 @@
   private final long maxUnsentBytes;
   private final ConnectionListener listener;
 
+  /** Whether it counts for {@link NioLoop#unsentOnAccepted}. */
+  private final boolean accepted;
+
   /** Buffers still to be handed to the system, each filled up to its position. */
   private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
 
@@ -50,6 +58,14 @@
   private boolean writing;
   private boolean flushScheduled;
   private boolean reading;
+  private boolean readingPaused;
+
+  /** The listener paused, and maybe resumed, while it was passed bytes. */
+  private boolean pausedMeanwhile;
+
+  /** The read buffer holds what the listener left, or nothing, and no read is in flight. */
+  private boolean holdsUnread;
+
   private boolean finishing;
   private boolean unlessReceived;
   private Timer finishTimer;
@@ -61,10 +77,12 @@
       NioLoop loop,
       AsynchronousSocketChannel channel,
       long maxUnsentBytes,
+      boolean accepted,
       ConnectionListener listener) {
     this.loop = loop;
     this.channel = channel;
     this.maxUnsentBytes = maxUnsentBytes;
+    this.accepted = accepted;
     this.listener = listener;
   }
 
@@ -111,7 +129,12 @@
       return;
     }
     connected = true;
-    readBuffer = loop.borrowBuffer(READ_BUFFER_BYTES);
+    readBuffer = loop.borrowReadBuffer();
+    if (readBuffer == null) {
+      // guards against a connection that is open and never read
+      cut("no memory for its read buffer");
+      return;
+    }
     listener.connected(this);
     if (!closed) {
       read();
@@ -138,13 +161,7 @@
             cancelFinish();
           }
           readBuffer.flip();
-          listener.received(readBuffer);
-          readBuffer.clear();
-          if (!closed) {
-            read();
-          } else {
-            releaseReadBuffer();
-          }
+          passOn();
         }
 
         @Override
@@ -167,13 +184,69 @@
     readBuffer = null;
   }
 
+  /** Has the listener read what is in the buffer, then reads on unless it paused. */
+  private void passOn() {
+    if (readingPaused) {
+      holdsUnread = true;
+      return;
+    }
+    pausedMeanwhile = false;
+    try {
+      listener.received(readBuffer);
+    } catch (RuntimeException e) {
+      // guards against a connection that stays open and that nobody reads any more
+      cut("fault of this program: " + e);
+      throw e;
+    }
+    if (closed) {
+      releaseReadBuffer();
+    } else if (!pausedMeanwhile) {
+      read();
+    } else {
+      holdsUnread = true;
+      if (!readingPaused) {
+        loop.atTurnsEnd(this::passOnUnread);
+      }
+    }
+  }
+
+  @Override
+  public void pauseReading() {
+    readingPaused = true;
+    pausedMeanwhile = true;
+  }
+
+  @Override
+  public void resumeReading() {
+    if (!readingPaused) {
+      return;
+    }
+    readingPaused = false;
+    if (holdsUnread) {
+      loop.atTurnsEnd(this::passOnUnread);
+    }
+  }
+
+  /** The listener is called even without bytes: it may wait for more than these. */
+  private void passOnUnread() {
+    if (closed || readingPaused || !holdsUnread) {
+      return;
+    }
+    holdsUnread = false;
+    passOn();
+  }
+
   private void read() {
+    readBuffer.clear();
     reading = true;
     channel.read(readBuffer, null, readHandler);
   }
 
   @Override
   public ByteBuffer reserve(int bytes) {
+    if (closed) {
+      return ByteBuffer.allocate(bytes);
+    }
     if (tail == null || tail.remaining() < bytes) {
       tail = loop.borrowBuffer(bytes);
       unsent.add(tail);
@@ -186,24 +259,43 @@
 
   @Override
   public void append(byte[] bytes) {
-    tail = null;
-    ByteBuffer piece = ByteBuffer.wrap(bytes);
-    piece.position(bytes.length); // filled up to its position, as those reserved
-    unsent.add(piece);
-    countWritten(bytes.length);
+    append(bytes, 0, bytes.length);
   }
 
-  private void countWritten(int bytes) {
+  @Override
+  public void append(byte[] bytes, int offset, int length) {
     if (closed) {
       return;
     }
+    tail = null;
+    ByteBuffer piece = ByteBuffer.wrap(bytes, offset, length).slice();
+    piece.position(length); // filled up to its position, as those reserved
+    unsent.add(piece);
+    countWritten(length);
+  }
+
+  private void countWritten(int bytes) {
     bytesWritten += bytes;
+    countUnsent(bytes);
     if (bytesWritten - bytesSent > maxUnsentBytes) {
       cut("does not read: more than " + maxUnsentBytes + " bytes wait for it");
+    } else if (accepted && isBehind() && loop.hasTooMuchUnsent()) {
+      cut("does not read, and there is no memory for what waits");
     }
     scheduleFlush();
   }
 
+  /** Whether the peer has not taken what was written in earlier turns. */
+  private boolean isBehind() {
+    return writing && bytesHandedOver > bytesSent;
+  }
+
+  private void countUnsent(long bytes) {
+    if (accepted) {
+      loop.countUnsentOnAccepted(bytes);
+    }
+  }
+
   private void scheduleFlush() {
     if (flushScheduled || closed) {
       return;
@@ -227,11 +319,7 @@
       return;
     }
     tail = null;
-    while (inFlight.size() < MAX_GATHERED_BUFFERS && !unsent.isEmpty()) {
-      ByteBuffer piece = unsent.poll().flip();
-      bytesHandedOver += piece.remaining();
-      inFlight.add(piece);
-    }
+    gather();
     writing = true;
     if (inFlight.size() == 1) {
       channel.write(inFlight.peek(), null, singleWriteHandler);
@@ -241,12 +329,28 @@
     }
   }
 
+  /** Moves what one write takes to {@link #inFlight}; a large piece goes alone. */
+  private void gather() {
+    long bytes = bytesHandedOver - bytesSent;
+    while (inFlight.size() < MAX_GATHERED_BUFFERS && !unsent.isEmpty()) {
+      int next = unsent.peek().position();
+      if (!inFlight.isEmpty() && bytes + next > MAX_GATHERED_BYTES) {
+        return;
+      }
+      bytes += next;
+      bytesHandedOver += next;
+      inFlight.add(unsent.poll().flip());
+    }
+  }
+
   private void writeCompleted(long count) {
     writing = false;
     if (closed) {
+      returnBuffers(inFlight);
       return;
     }
     bytesSent += count;
+    countUnsent(-count);
     while (!inFlight.isEmpty() && !inFlight.peek().hasRemaining()) {
       loop.returnBuffer(inFlight.poll());
     }
@@ -258,6 +362,14 @@
   private void writeFailed(Throwable why) {
     writing = false;
     cut("broken: " + why.getMessage());
+    returnBuffers(inFlight);
+  }
+
+  /** Guards against direct memory that only the garbage collector would free. */
+  private void returnBuffers(ArrayDeque<ByteBuffer> buffers) {
+    while (!buffers.isEmpty()) {
+      loop.returnBuffer(buffers.poll());
+    }
   }
 
   private final CompletionHandler<Long, Void> gatheredWriteHandler =
@@ -297,6 +409,11 @@
     return bytesHandedOver;
   }
 
+  @Override
+  public long unsentBytes() {
+    return closed ? 0 : bytesWritten - bytesSent;
+  }
+
   @Override
   public void finish() {
     if (closed || finishing) {
@@ -366,14 +483,17 @@
       // the socket is gone either way, and the listener is notified below
       why = why + " (" + e.getMessage() + ")";
     }
-    unsent.clear();
-    inFlight.clear();
+    countUnsent(bytesSent - bytesWritten);
     tail = null;
     String reason = why;
     loop.post(
         () -> { // in a later turn, so that no caller is notified while it acts
           onClosed.run();
           releaseReadBuffer();
+          returnBuffers(unsent); // not earlier: whoever reserved them in that turn may fill them
+          if (!writing) {
+            returnBuffers(inFlight); // else the system may still use them
+          }
           listener.closed(reason);
         });
   }
--- a/src/main/java/sprucerock/transport/net/nio/NioListener.java
+++ b/src/main/java/sprucerock/transport/net/nio/NioListener.java
@@ -52,7 +52,8 @@
       return;
     }
     openConnections++;
-    NioConnection connection = new NioConnection(loop, channel, maxUnsentBytes, listeners.get());
+    NioConnection connection =
+        new NioConnection(loop, channel, maxUnsentBytes, true, listeners.get());
     connection.onClosed(() -> openConnections--);
     connection.begin();
   }
--- a/src/main/java/sprucerock/transport/net/nio/NioLoop.java
+++ b/src/main/java/sprucerock/transport/net/nio/NioLoop.java
@@ -33,8 +33,19 @@
  * flight, two a connection, and what {@link #post} adds.
  */
 public final class NioLoop implements Net, AutoCloseable {
-  private static final int BUFFER_BYTES = 16 * 1024;
+  private static final int MAX_BUFFER_BYTES = 16 * 1024;
+  private static final int MIN_BUFFER_BYTES = 1024;
   private static final int MAX_POOLED_BUFFERS = 1024;
+
+  /**
+   * Of the heap's size; all buffers of the pool together. Direct memory may be as large as the heap
+   * by default, and the rest is for what is written from arrays.
+   */
+  private static final double BUFFER_SHARE = 1.0 / 3;
+
+  /** Of the heap's size, for all that waits for peers of accepted connections. */
+  private static final double UNSENT_SHARE = 1.0 / 4;
+
   private static final int ACCEPT_BACKLOG = 1024;
   private static final double MAX_SLEEP_MS = 1000;
   private static final double NANOS_PER_MS = 1e6;
@@ -54,6 +65,11 @@
   private final List<Runnable> whenQuiet = new ArrayList<>();
   private Timestamp quietDeadline;
   private final ArrayDeque<ByteBuffer> bufferPool = new ArrayDeque<>();
+  private final int bufferBytes;
+  private final int maxBuffers;
+  private int allocatedBuffers;
+  private final long maxUnsentOnAccepted = (long) (Runtime.getRuntime().maxMemory() * UNSENT_SHARE);
+  private long unsentOnAccepted;
   private final AsynchronousChannelGroup group;
   private final Thread thread;
   private final Consumer<Throwable> errorHandler;
@@ -62,15 +78,28 @@
   private Timestamp now = Timestamp.ofMs(0);
   private Timestamp previousTurnStart = now;
 
+  /** The same for a loop that may have so many connections that each has the largest buffer. */
+  public NioLoop(String name, Consumer<Throwable> errorHandler) throws IOException {
+    this(name, errorHandler, 1);
+  }
+
   /**
    * Starts a loop.
    *
    * @param name of its thread
-   * @param errorHandler gets what an action threw, on the loop's thread; the loop goes on
+   * @param errorHandler gets what an action threw, on the loop's thread; the loop goes on, except
+   *     that an {@link OutOfMemoryError} or {@link InternalError} ends the thread
+   * @param maxConnections that there may be at a time; each has a read buffer, and where memory is
+   *     scarce these are the smaller
    * @throws IOException if the system gives no channel group
    */
-  public NioLoop(String name, Consumer<Throwable> errorHandler) throws IOException {
+  public NioLoop(String name, Consumer<Throwable> errorHandler, int maxConnections)
+      throws IOException {
     this.errorHandler = errorHandler;
+    double poolBytes = Runtime.getRuntime().maxMemory() * BUFFER_SHARE;
+    double evenly = Math.floor(poolBytes / maxConnections / MIN_BUFFER_BYTES) * MIN_BUFFER_BYTES;
+    bufferBytes = (int) Math.max(MIN_BUFFER_BYTES, Math.min(MAX_BUFFER_BYTES, evenly));
+    maxBuffers = (int) Math.min(Integer.MAX_VALUE, poolBytes / bufferBytes);
     group = AsynchronousChannelGroup.withThreadPool(new CompletionExecutor());
     thread = new Thread(this::run, name);
     thread.setDaemon(true);
@@ -196,6 +225,9 @@
   private void guarded(Runnable action) {
     try {
       action.run();
+    } catch (OutOfMemoryError | InternalError e) {
+      // guards against a loop that goes on with what was left half done
+      throw e;
     } catch (RuntimeException | Error e) {
       errorHandler.accept(e);
     }
@@ -228,23 +260,52 @@
 
   /** A buffer of at least so many bytes, from the pool if it may be. */
   ByteBuffer borrowBuffer(int bytes) {
-    if (bytes > BUFFER_BYTES) {
-      return ByteBuffer.allocate(bytes);
-    }
+    ByteBuffer pooled = bytes > bufferBytes ? null : borrowReadBuffer();
+    return pooled != null ? pooled : ByteBuffer.allocate(bytes);
+  }
+
+  /** A buffer of the pool; null if all that there may be are in use. */
+  ByteBuffer borrowReadBuffer() {
     ByteBuffer pooled = bufferPool.poll();
-    return pooled != null ? pooled : ByteBuffer.allocateDirect(BUFFER_BYTES);
+    if (pooled != null || allocatedBuffers == maxBuffers) {
+      return pooled;
+    }
+    allocatedBuffers++;
+    return ByteBuffer.allocateDirect(bufferBytes);
   }
 
   /**
    * Returns a buffer that nobody uses any more; those not from the pool are left to the collector.
    */
   void returnBuffer(ByteBuffer buffer) {
-    if (buffer.capacity() != BUFFER_BYTES
-        || !buffer.isDirect()
-        || bufferPool.size() >= MAX_POOLED_BUFFERS) {
+    if (!buffer.isDirect()) {
       return;
     }
-    bufferPool.add(buffer.clear());
+    if (bufferPool.size() < MAX_POOLED_BUFFERS) {
+      bufferPool.add(buffer.clear());
+    } else {
+      allocatedBuffers--;
+    }
+  }
+
+  /** How many buffers of the pool there are, in use or not. */
+  int allocatedBuffers() {
+    return allocatedBuffers;
+  }
+
+  /** Counts bytes that wait on an accepted connection; those that do no longer, negatively. */
+  void countUnsentOnAccepted(long bytes) {
+    unsentOnAccepted += bytes;
+  }
+
+  /** Whether more waits on accepted connections than there is memory for. */
+  boolean hasTooMuchUnsent() {
+    return unsentOnAccepted > maxUnsentOnAccepted;
+  }
+
+  @Override
+  public long unsentOnAccepted() {
+    return unsentOnAccepted;
   }
 
   @Override
@@ -253,9 +314,10 @@
     NioConnection connection;
     try {
       connection =
-          new NioConnection(this, AsynchronousSocketChannel.open(group), maxUnsentBytes, listener);
+          new NioConnection(
+              this, AsynchronousSocketChannel.open(group), maxUnsentBytes, false, listener);
     } catch (IOException e) {
-      NioConnection failed = new NioConnection(this, null, maxUnsentBytes, listener);
+      NioConnection failed = new NioConnection(this, null, maxUnsentBytes, false, listener);
       failed.cut("no socket: " + e.getMessage());
       return failed;
     }
--- a/src/main/java/sprucerock/transport/postgres/MessageFramer.java
+++ b/src/main/java/sprucerock/transport/postgres/MessageFramer.java
@@ -16,7 +16,8 @@
      * A message has arrived.
      *
      * @param type the type byte, or 0 for a startup message
-     * @param body the message without type and length; the listener may keep it
+     * @param body the message without type and length, which belongs to the listener from now on,
+     *     as do the bytes that were admitted for it
      * @throws ProtocolException if the listener finds the message invalid; {@link #feed} passes it
      *     on
      */
@@ -26,6 +27,14 @@
     boolean wantsMore();
   }
 
+  /** Decides whether there is memory for a message. */
+  public interface Admission {
+    /**
+     * Whether so many bytes may be buffered; asked again with each {@link #feed} until it is so.
+     */
+    boolean admit(int bodyBytes);
+  }
+
   private static final String CLIENT_TYPES = "QXPBEDCSHFdcfp";
   private static final String SERVER_TYPES = "RSKZTDCEINA";
 
@@ -35,22 +44,32 @@
   private static final int LENGTH_BYTES = 4;
   private static final int TYPE_BYTES = 1;
   private static final int INITIAL_BUFFER_BYTES = 256;
-
-  /** A larger buffer is dropped after its message, so that idle connections hold little. */
-  private static final int MAX_RETAINED_BUFFER_BYTES = 4 * INITIAL_BUFFER_BYTES;
-
-  private static final byte[] NO_BYTES = {};
+  private static final char STARTUP_TYPE = 0;
 
   private final String knownTypes;
   private final int maxBodyBytes;
+  private final Admission admission;
+  private final byte[] header = new byte[TYPE_BYTES + LENGTH_BYTES];
   private boolean expectsStartup;
-  private byte[] buffer = NO_BYTES;
-  private int buffered;
+  private int headerFilled;
+
+  /** Null until the header is complete and its body admitted. */
+  private byte[] body;
 
-  private MessageFramer(String knownTypes, int maxBodyBytes, boolean expectsStartup) {
+  private int bodyBytes;
+  private int bodyFilled;
+
+  private MessageFramer(
+      String knownTypes, int maxBodyBytes, boolean expectsStartup, Admission admission) {
     this.knownTypes = knownTypes;
     this.maxBodyBytes = maxBodyBytes;
     this.expectsStartup = expectsStartup;
+    this.admission = admission;
+  }
+
+  /** The same as the other one, without a bound on what several framers buffer together. */
+  public static MessageFramer fromClient(int maxBodyBytes) {
+    return fromClient(maxBodyBytes, bytes -> true);
   }
 
   /**
@@ -59,8 +78,13 @@
    *
    * @param maxBodyBytes the longest body accepted of a typed message
    */
-  public static MessageFramer fromClient(int maxBodyBytes) {
-    return new MessageFramer(CLIENT_TYPES, maxBodyBytes, true);
+  public static MessageFramer fromClient(int maxBodyBytes, Admission admission) {
+    return new MessageFramer(CLIENT_TYPES, maxBodyBytes, true, admission);
+  }
+
+  /** The same as the other one, without a bound on what several framers buffer together. */
+  public static MessageFramer fromServer(int maxBodyBytes) {
+    return fromServer(maxBodyBytes, bytes -> true);
   }
 
   /**
@@ -68,8 +92,8 @@
    *
    * @param maxBodyBytes the longest body accepted
    */
-  public static MessageFramer fromServer(int maxBodyBytes) {
-    return new MessageFramer(SERVER_TYPES, maxBodyBytes, false);
+  public static MessageFramer fromServer(int maxBodyBytes, Admission admission) {
+    return new MessageFramer(SERVER_TYPES, maxBodyBytes, false, admission);
   }
 
   /** Switches from startup messages to typed messages. */
@@ -79,53 +103,83 @@
 
   /** Whether a message has begun and is incomplete. */
   public boolean isPartial() {
-    return buffered > 0;
+    return headerFilled > 0;
+  }
+
+  /** Whether the next message waits for its admission. */
+  public boolean isBlocked() {
+    return body == null && headerFilled == headerBytes();
+  }
+
+  /** The bytes that were admitted for the message that is incomplete. */
+  public int admittedBytes() {
+    return body == null ? 0 : bodyBytes;
+  }
+
+  /** Drops an incomplete message; the framer must not be fed after that. */
+  public void discard() {
+    body = null;
+    headerFilled = 0;
   }
 
   /**
-   * Consumes bytes and passes on each message that they complete, until none are left or the
-   * listener wants no more.
+   * Consumes bytes and passes on each message that they complete, until none are left, the listener
+   * wants no more, or a message is not admitted: then {@link #isBlocked}, and what is left has to
+   * be fed again.
    *
    * @param in the next bytes of the stream, in pieces of any size
    * @throws ProtocolException if the bytes can't be a message, or the listener threw it; the framer
    *     must not be fed after that
    */
   public void feed(ByteBuffer in, Listener listener) throws ProtocolException {
-    while (in.hasRemaining() && listener.wantsMore()) {
-      int headerBytes = expectsStartup ? LENGTH_BYTES : TYPE_BYTES + LENGTH_BYTES;
-      if (buffered < headerBytes && !readHeader(in, headerBytes)) {
+    while (listener.wantsMore()) {
+      if (body == null && !(readHeader(in) && beginBody(in))) {
         return;
       }
-      int messageBytes = headerBytes - LENGTH_BYTES + checkedLength(headerBytes - LENGTH_BYTES);
-      fill(in, messageBytes);
-      if (buffered < messageBytes) {
+      fillBody(in);
+      if (bodyFilled < bodyBytes) {
         return;
       }
-      char type = expectsStartup ? 0 : (char) (buffer[0] & 0xff);
-      byte[] body = Arrays.copyOfRange(buffer, headerBytes, messageBytes);
-      buffered = 0;
-      if (buffer.length > MAX_RETAINED_BUFFER_BYTES) {
-        buffer = NO_BYTES;
-      }
-      listener.onMessage(type, body);
+      char type = expectsStartup ? STARTUP_TYPE : (char) (header[0] & 0xff);
+      byte[] complete = body;
+      body = null;
+      headerFilled = 0;
+      listener.onMessage(type, complete);
     }
   }
 
+  private int headerBytes() {
+    return expectsStartup ? LENGTH_BYTES : TYPE_BYTES + LENGTH_BYTES;
+  }
+
   /** Checks the type at the first byte, so that noise is rejected without waiting for more. */
-  private boolean readHeader(ByteBuffer in, int headerBytes) throws ProtocolException {
-    if (!expectsStartup && buffered == 0) {
+  private boolean readHeader(ByteBuffer in) throws ProtocolException {
+    int headerBytes = headerBytes();
+    if (!expectsStartup && headerFilled == 0 && in.hasRemaining()) {
       int type = in.get(in.position()) & 0xff;
       if (knownTypes.indexOf(type) < 0) {
         throw new ProtocolException("no message has the type " + type);
       }
     }
-    fill(in, headerBytes);
-    return buffered >= headerBytes;
+    int count = Math.min(headerBytes - headerFilled, in.remaining());
+    in.get(header, headerFilled, count);
+    headerFilled += count;
+    return headerFilled == headerBytes;
+  }
+
+  private boolean beginBody(ByteBuffer in) throws ProtocolException {
+    bodyBytes = checkedLength(headerBytes() - LENGTH_BYTES) - LENGTH_BYTES;
+    if (!admission.admit(bodyBytes)) {
+      return false;
+    }
+    body = new byte[Math.min(bodyBytes, Math.max(in.remaining(), INITIAL_BUFFER_BYTES))];
+    bodyFilled = 0;
+    return true;
   }
 
   /** The length field, which counts itself and the body. */
   private int checkedLength(int offset) throws ProtocolException {
-    int length = ByteBuffer.wrap(buffer, offset, LENGTH_BYTES).getInt();
+    int length = ByteBuffer.wrap(header, offset, LENGTH_BYTES).getInt();
     int maxBody = expectsStartup ? MAX_STARTUP_BODY_BYTES : maxBodyBytes;
     if (length < LENGTH_BYTES || length - LENGTH_BYTES > maxBody) {
       throw new ProtocolException(
@@ -138,15 +192,14 @@
     return length;
   }
 
-  private void fill(ByteBuffer in, int upToBytes) {
-    int count = Math.min(upToBytes - buffered, in.remaining());
-    int needed = buffered + count;
-    if (needed > buffer.length) {
-      int doubled = Math.max(INITIAL_BUFFER_BYTES, 2 * buffer.length);
-      int useful = Math.max(upToBytes, INITIAL_BUFFER_BYTES);
-      buffer = Arrays.copyOf(buffer, Math.max(needed, Math.min(doubled, useful)));
+  /** Once it is full the buffer is exactly as long as the body, and is passed on as it is. */
+  private void fillBody(ByteBuffer in) {
+    int count = Math.min(bodyBytes - bodyFilled, in.remaining());
+    int needed = bodyFilled + count;
+    if (needed > body.length) {
+      body = Arrays.copyOf(body, Math.min(bodyBytes, Math.max(needed, 2 * body.length)));
     }
-    in.get(buffer, buffered, count);
-    buffered += count;
+    in.get(body, bodyFilled, count);
+    bodyFilled += count;
   }
 }
--- a/src/main/java/sprucerock/transport/postgres/MessageReader.java
+++ b/src/main/java/sprucerock/transport/postgres/MessageReader.java
@@ -81,6 +81,15 @@
    * @throws ProtocolException if its only zero byte isn't the last one
    */
   public static byte[] parseQuery(byte[] body) throws ProtocolException {
+    return Arrays.copyOf(body, queryLength(body));
+  }
+
+  /**
+   * How many bytes of a simple query are its text, which begins with the first one.
+   *
+   * @throws ProtocolException if its only zero byte isn't the last one
+   */
+  public static int queryLength(byte[] body) throws ProtocolException {
     int end = body.length - 1;
     if (end < 0 || body[end] != 0) {
       throw new ProtocolException("a query that does not end");
@@ -90,7 +99,7 @@
         throw new ProtocolException("a query with a zero byte inside");
       }
     }
-    return Arrays.copyOf(body, end);
+    return end;
   }
 
   /**
--- a/src/main/java/sprucerock/transport/postgres/MessageWriter.java
+++ b/src/main/java/sprucerock/transport/postgres/MessageWriter.java
@@ -28,11 +28,9 @@
    * @param body what follows the length
    */
   public static byte[] message(char type, byte[] body) {
-    return ByteBuffer.allocate(HEADER_BYTES + body.length)
-        .put((byte) type)
-        .putInt(LENGTH_BYTES + body.length)
-        .put(body)
-        .array();
+    ByteBuffer message = ByteBuffer.allocate(HEADER_BYTES + body.length);
+    putMessage(message, type, body);
+    return message.array();
   }
 
   /**
@@ -116,6 +114,38 @@
         .array();
   }
 
+  /**
+   * The type and length of a client's simple query, whose text and terminating zero byte follow.
+   *
+   * @param textBytes the length of the text, without the zero byte
+   */
+  public static byte[] queryHeader(int textBytes) {
+    return ByteBuffer.allocate(HEADER_BYTES)
+        .put((byte) 'Q')
+        .putInt(LENGTH_BYTES + textBytes + 1)
+        .array();
+  }
+
+  /**
+   * A server's answer to a query that yields one row, in one array.
+   *
+   * @param column the body of the row description
+   * @param row the body of the data row
+   * @param tag the body of the completion
+   */
+  public static byte[] singleRow(byte[] column, byte[] row, byte[] tag) {
+    ByteBuffer all =
+        ByteBuffer.allocate(3 * HEADER_BYTES + column.length + row.length + tag.length);
+    putMessage(all, 'T', column);
+    putMessage(all, 'D', row);
+    putMessage(all, 'C', tag);
+    return all.array();
+  }
+
+  private static void putMessage(ByteBuffer to, char type, byte[] body) {
+    to.put((byte) type).putInt(LENGTH_BYTES + body.length).put(body);
+  }
+
   /** A client's message that ends the session; shared. */
   public static byte[] terminate() {
     return TERMINATE;
--- a/src/test/java/sprucerock/relay/platform/ClientDoorTest.java
+++ b/src/test/java/sprucerock/relay/platform/ClientDoorTest.java
@@ -14,8 +14,10 @@
 import sprucerock.model.Method;
 import sprucerock.relay.engine.EventLog;
 import sprucerock.time.TimeSpan;
+import sprucerock.transport.net.BufferBudget;
 import sprucerock.transport.net.Connection;
 import sprucerock.transport.net.ConnectionListener;
+import sprucerock.transport.net.MemoryLimit;
 import sprucerock.transport.net.Net;
 import sprucerock.transport.net.SimulatedNet;
 import sprucerock.transport.postgres.MessageWriter;
@@ -103,6 +105,8 @@
               }
             },
             Map.of("look", look),
+            new BufferBudget(net, MemoryLimit.none(), TimeSpan.ZERO),
+            new BufferBudget(net, MemoryLimit.none(), TimeSpan.ZERO),
             ENOUGH,
             PLACES);
     door.start(new InetSocketAddress("127.0.0.1", 100));
--- /dev/null
+++ b/src/test/java/sprucerock/relay/platform/ClientMemoryTest.java
@@ -0,0 +1,260 @@
+package sprucerock.relay.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import sprucerock.model.Method;
+import sprucerock.relay.engine.EventLog;
+import sprucerock.relay.engine.RequestOutcome;
+import sprucerock.time.TimeSpan;
+import sprucerock.transport.net.BufferBudget;
+import sprucerock.transport.net.Connection;
+import sprucerock.transport.net.ConnectionListener;
+import sprucerock.transport.net.MemoryLimit;
+import sprucerock.transport.net.SimulatedNet;
+import sprucerock.transport.postgres.MessageFramer;
+import sprucerock.transport.postgres.MessageReader;
+import sprucerock.transport.postgres.MessageWriter;
+import sprucerock.transport.postgres.ProtocolException;
+
+/** Clients whose commands need more memory than all of them may hold together. */
+public class ClientMemoryTest {
+  private static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 100);
+  private static final int MAX_CLIENTS = 400;
+  private static final byte[] VALUE =
+      MessageWriter.singleRow(
+          ByteBuffer.allocate(22).putShort((short) 1).put((byte) 'v').array(),
+          ByteBuffer.allocate(6).putShort((short) 1).putInt(0).array(),
+          "SELECT 1\0".getBytes(StandardCharsets.US_ASCII));
+
+  private final List<PlatformRequest> arrived = new ArrayList<>();
+  private SimulatedNet net;
+  private MemoryLimit limit;
+
+  @BeforeMethod
+  public void begin() throws Exception {
+    arrived.clear();
+    net = new SimulatedNet(0, 1);
+    limit = new MemoryLimit(300_000, () -> 0);
+    Method put =
+        new Method(
+            0,
+            Method.Idempotency.NONE,
+            Method.KeyScope.ALL,
+            TimeSpan.ofMs(300),
+            TimeSpan.ZERO,
+            1,
+            false);
+    ClientListener listener =
+        new ClientListener(
+            net,
+            new EventLog(net),
+            new ClientListener.Owner() {
+              @Override
+              public void arrived(PlatformRequest asked) {
+                arrived.add(asked);
+              }
+
+              @Override
+              public void left(PlatformRequest asked) {
+                asked.complete();
+              }
+            },
+            Map.of("put", put),
+            new BufferBudget(net, limit, TimeSpan.ofMs(100)),
+            new BufferBudget(net, MemoryLimit.none(), TimeSpan.ZERO),
+            MAX_CLIENTS,
+            MAX_CLIENTS);
+    listener.start(ADDRESS);
+    listener.take();
+  }
+
+  private final class Client implements ConnectionListener, MessageFramer.Listener {
+    private final MessageFramer framer = MessageFramer.fromServer(1 << 18);
+    final List<String> received = new ArrayList<>();
+    Connection connection;
+    boolean closed;
+
+    Client() {
+      net.connect(ADDRESS, TimeSpan.ofMs(100), 1 << 20, this);
+      net.settle();
+      sends(MessageWriter.startupMessage("svc", "main"));
+      received.clear();
+    }
+
+    void sends(byte[] bytes) {
+      net.turn(() -> connection.append(bytes));
+      net.settle();
+    }
+
+    @Override
+    public void connected(Connection made) {
+      connection = made;
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+      try {
+        framer.feed(bytes, this);
+      } catch (ProtocolException e) {
+        throw new AssertionError(e);
+      }
+    }
+
+    @Override
+    public boolean wantsMore() {
+      return true;
+    }
+
+    @Override
+    public void onMessage(char type, byte[] body) throws ProtocolException {
+      if (type == 'D') {
+        received.add("value");
+      } else if (type == 'E') {
+        received.add("error " + MessageReader.parseErrorField(body, 'C'));
+      }
+    }
+
+    @Override
+    public void closed(String why) {
+      closed = true;
+    }
+  }
+
+  /** A command that inserts a value of so many bytes. */
+  private static byte[] insert(int id, int valueBytes) {
+    String text =
+        "INSERT INTO records (k, v) VALUES ('aa', '\\x"
+            + "0f".repeat(valueBytes)
+            + "') RETURNING v /* id="
+            + id
+            + ",c=put,d=9000 */";
+    return MessageWriter.query(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static byte[] half(byte[] command) {
+    return Arrays.copyOf(command, command.length / 2);
+  }
+
+  private void serve(int index) {
+    PlatformRequest request = arrived.get(index);
+    net.turn(() -> request.client.answer(request, RequestOutcome.OK, TimeSpan.ZERO, VALUE));
+    net.settle();
+  }
+
+  /** Guards against half commands of some hundred clients, each within its limit: review/1. */
+  @Test
+  public void halfCommandsHoldNoMoreThanTheLimitAndLeaveRoomForOthers() {
+    List<Client> bad = new ArrayList<>();
+    for (int i = 0; i < 300; i++) {
+      Client client = new Client();
+      client.sends(half(insert(i, 60_000)));
+      bad.add(client);
+      assertTrue(limit.heldBytes() <= 300_000);
+    }
+    Client small = new Client();
+    small.sends(insert(1000, 100));
+    assertEquals(arrived.size(), 1);
+    serve(0);
+    assertEquals(small.received, List.of("value"));
+    net.pass(2600); // "within 3 s of connecting"
+    int refused = 0;
+    for (Client client : bad) {
+      // the last ones in have memory, which nobody waits for any more, and end for their silence
+      boolean isRefused = client.received.equals(List.of("error 53300"));
+      assertTrue(isRefused || client.received.equals(List.of("error 08P01")));
+      assertTrue(client.closed);
+      refused += isRefused ? 1 : 0;
+    }
+    assertTrue(refused >= 290, "only " + refused + " were refused");
+    Client large = new Client();
+    large.sends(insert(1001, 60_000));
+    assertEquals(arrived.size(), 2);
+  }
+
+  /** Guards against a client that waits for memory and never hears of it. */
+  @Test
+  public void aCommandThatFindsNoMemoryIsRefusedInTime() {
+    Client first = new Client();
+    Client second = new Client();
+    Client third = new Client();
+    first.sends(insert(1, 64_000));
+    second.sends(insert(2, 64_000));
+    third.sends(insert(3, 64_000));
+    assertEquals(arrived.size(), 2);
+    net.pass(200);
+    assertEquals(third.received, List.of());
+    net.pass(100);
+    assertEquals(third.received, List.of("error 53300"));
+    net.pass(300);
+    assertTrue(third.closed);
+    serve(0);
+    serve(1);
+    assertEquals(first.received, List.of("value"));
+    assertEquals(second.received, List.of("value"));
+  }
+
+  @Test
+  public void aCommandThatWaitsForMemoryIsTakenOnceThereIsSome() {
+    Client first = new Client();
+    Client second = new Client();
+    Client third = new Client();
+    first.sends(insert(1, 64_000));
+    second.sends(insert(2, 64_000));
+    third.sends(insert(3, 64_000));
+    net.pass(100);
+    serve(0);
+    assertEquals(arrived.size(), 3);
+    serve(2);
+    net.pass(1000);
+    assertEquals(third.received, List.of("value"));
+    assertFalse(third.closed);
+  }
+
+  /** Guards against a refusal that is taken for the answer of a request that may have run. */
+  @Test
+  public void aRefusalComesAfterTheAnswersThatAreOwed() {
+    Client other = new Client();
+    other.sends(insert(1, 64_000));
+    Client client = new Client();
+    client.sends(insert(2, 100));
+    client.sends(insert(3, 64_000));
+    client.sends(insert(4, 64_000));
+    net.pass(1000);
+    assertEquals(client.received, List.of());
+    serve(1);
+    assertEquals(arrived.size(), 3);
+    serve(2);
+    net.pass(1000);
+    assertEquals(client.received, List.of("value", "value", "error 53300"));
+    assertTrue(client.closed);
+  }
+
+  @Test
+  public void allThatWasHeldIsReleased() {
+    for (int i = 0; i < 50; i++) {
+      Client client = new Client();
+      client.sends(insert(i, 20_000));
+      client.sends(half(insert(1000 + i, 20_000)));
+      if (i % 2 == 0) {
+        net.turn(() -> client.connection.cut("gone"));
+      }
+    }
+    net.pass(1000);
+    for (int i = 0; i < arrived.size(); i++) {
+      serve(i);
+    }
+    net.pass(3000);
+    assertEquals(limit.heldBytes(), 0);
+  }
+}
--- a/src/test/java/sprucerock/relay/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/CrossingsTest.java
@@ -23,6 +23,8 @@
 import sprucerock.relay.engine.EventLog;
 import sprucerock.relay.engine.RequestOutcome;
 import sprucerock.time.TimeSpan;
+import sprucerock.transport.net.BufferBudget;
+import sprucerock.transport.net.MemoryLimit;
 import sprucerock.transport.net.nio.NioLoop;
 import sprucerock.transport.postgres.MessageWriter;
 
@@ -600,7 +602,15 @@
     loop.post(
         () -> {
           door[0] =
-              new ClientListener(loop, new EventLog(loop), answers, Map.of("look", look), 10, 10);
+              new ClientListener(
+                  loop,
+                  new EventLog(loop),
+                  answers,
+                  Map.of("look", look),
+                  new BufferBudget(loop, MemoryLimit.none(), TimeSpan.ZERO),
+                  new BufferBudget(loop, MemoryLimit.none(), TimeSpan.ZERO),
+                  10,
+                  10);
           try {
             door[0].start(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
           } catch (IOException e) {
--- /dev/null
+++ b/src/test/java/sprucerock/relay/platform/ServeMemoryTest.java
@@ -0,0 +1,240 @@
+package sprucerock.relay.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import sprucerock.transport.postgres.MessageWriter;
+
+/**
+ * A relay as its own process, whose clients and units send some twice as much as its heap holds.
+ * Verdicts hold whatever the machine's speed.
+ */
+public class ServeMemoryTest {
+  private static final String CONFIG =
+      """
+        {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c","limits":{"sockets":1024},"release_api":{"address":"%s","news":{}},
+         "known":{"version":4,"full":true,"servers":[%s]},
+         "settings":{"balancers":1,"index":0,"my_zone":0,"tick":5,"zones":["a"],"kinds":["m"],"membership_mode":"push",
+          "classes":[{"name":"pay","effect":"non_idempotent","on_time":20000,"hard_limit":20000,"worth":1}],
+          "obligations":{"ask_within":10000,"cold":1000,"start_capacity":0.4,"tip_after":1000,"tip_multiple":3},
+          "permissions":{"cancel":true,"connect_timeout":20000,"keepalive":60000,"max_retry_after":500,"peers":false,"retry_after":true,"second_copies":true,"send_cap":3},
+          "specifics":{"ballot_ttl":4000,"call_timeout":1000,"caps":[0.1,1.0],"per":"all","uncounted":3,"vote_mode":"single"}}}
+        """;
+
+  /** A third of the descriptors, nearly: as many as clients hold at most. */
+  private static final int BAD_CLIENTS = 320;
+
+  /** Whose largest values are some twice as much as their share of the heap. */
+  private static final int CLIENTS = 100;
+
+  /** Ended before its last byte was written: no request was taken. */
+  private static final String NOT_SENT = "not sent";
+
+  private static final int LARGEST_VALUE_BYTES = 64 * 1024;
+
+  private Peers peers;
+  private Peers.Unit endpoint;
+  private Path file;
+  private Process relay;
+  private int port;
+  private int ids;
+
+  @BeforeMethod
+  public void start() throws Exception {
+    peers = new Peers();
+    endpoint = peers.new Unit();
+    Peers.Agent discovery = peers.new Agent();
+    port = Peers.freePort();
+    file = Files.createTempFile("serve", ".json");
+    Files.writeString(
+        file,
+        CONFIG.formatted(
+            port,
+            discovery.address(),
+            peers.new Agent().address(),
+            endpoint.entry("s-1", "SERVING", 7)));
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx24m", "-Xss512k"));
+    command.addAll(
+        List.of("-cp", System.getProperty("java.class.path"), "sprucerock.Main", "serve"));
+    ProcessBuilder builder =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.DISCARD);
+    builder.environment().put("LB_CONFIG", file.toString());
+    relay = builder.start();
+    discovery.call().begins().list(4, false);
+  }
+
+  @AfterMethod
+  public void end() throws Exception {
+    relay.destroyForcibly();
+    peers.close();
+    Files.delete(file);
+  }
+
+  private byte[] insert(int valueBytes) {
+    String text =
+        "INSERT INTO records (k, v) VALUES ('aa', '\\x"
+            + "0f".repeat(valueBytes)
+            + "') RETURNING v /* id="
+            + ids++
+            + ",c=pay,d=20000 */";
+    return MessageWriter.query(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  /** Has the endpoint answer all that it is asked, each with a value of so many bytes. */
+  private void endpointAnswers(int valueBytes) {
+    byte[][] value = Peers.value("v".repeat(valueBytes));
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                while (true) {
+                  Peers.Unit.Query query = endpoint.asked.take();
+                  answer(query, value);
+                }
+              } catch (InterruptedException e) {
+                // the test is over
+              }
+            },
+            "endpoint");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Each on a thread of its own: one that waits for the relay to read holds up no other. */
+  private static void answer(Peers.Unit.Query query, byte[][] value) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                query.on().says(value);
+              } catch (IOException e) {
+                // given up by the relay: its client's end is looked at
+              }
+            },
+            "answer");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Connects so early that the relay may not listen yet. */
+  private Peers.Client client() throws Exception {
+    for (long until = System.nanoTime() + Peers.LONG * 1_000_000_000L; ; Thread.sleep(10)) {
+      try {
+        return peers.new Client(port);
+      } catch (IOException e) {
+        assertTrue(System.nanoTime() < until, "it never listens");
+      }
+    }
+  }
+
+  /** Each client's bytes on a connection of its own, all at once; how each of them ended. */
+  private List<String> sendAll(List<byte[]> all) throws Exception {
+    BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+    for (byte[] bytes : all) {
+      Thread thread =
+          new Thread(
+              () -> {
+                try {
+                  Peers.Client client = client();
+                  client.welcomed();
+                  try {
+                    client.sends(bytes);
+                  } catch (IOException e) {
+                    ends.add(NOT_SENT);
+                    return;
+                  }
+                  ends.add(client.answer());
+                } catch (Exception e) {
+                  ends.add("none: " + e);
+                }
+              },
+              "client");
+      thread.setDaemon(true);
+      thread.start();
+    }
+    List<String> told = new ArrayList<>();
+    for (int i = 0; i < all.size(); i++) {
+      told.add(Peers.next(ends, "the end of client " + i));
+    }
+    return told;
+  }
+
+  private void assertServesOn() throws Exception {
+    Peers.Client usual = client();
+    usual.sends(insert(2));
+    assertEquals(usual.welcomed().answer().substring(0, 7), "value v");
+    assertTrue(relay.isAlive());
+  }
+
+  /** Guards against half commands that fill the heap and end the threads of all input: review/1. */
+  @Test
+  public void halfCommandsOfManyClientsLeaveOthersServed() throws Exception {
+    endpointAnswers(10);
+    assertServesOn();
+    List<byte[]> halves = new ArrayList<>();
+    for (int i = 0; i < BAD_CLIENTS; i++) {
+      byte[] command = insert(79_000); // 158,000 bytes and some, more than is sent of it
+      halves.add(Arrays.copyOf(command, 150_000));
+    }
+    for (String end : sendAll(halves)) {
+      assertTrue(
+          end.startsWith("error")
+              || end.equals("closed")
+              || end.equals("reset")
+              || end.equals(NOT_SENT),
+          end);
+    }
+    assertServesOn();
+  }
+
+  /** Guards against copies of large commands, one an attempt, that fill the heap. */
+  @Test
+  public void theLargestValuesOfManyClientsAreServedOrRefused() throws Exception {
+    endpointAnswers(10);
+    assertServesOn();
+    List<byte[]> commands = new ArrayList<>();
+    for (int i = 0; i < CLIENTS; i++) {
+      commands.add(insert(LARGEST_VALUE_BYTES));
+    }
+    Set<String> ends = new TreeSet<>(sendAll(commands));
+    assertTrue(ends.contains("value vvvvvvvvvv"), ends.toString());
+    ends.remove("value vvvvvvvvvv");
+    ends.removeIf(end -> end.startsWith("error 53300"));
+    ends.remove(NOT_SENT);
+    assertEquals(ends, Set.of());
+    assertServesOn();
+  }
+
+  /** Guards against large answers of many units that fill the heap. */
+  @Test
+  public void theLargestAnswersToManyClientsAreServed() throws Exception {
+    endpointAnswers(LARGEST_VALUE_BYTES);
+    assertServesOn();
+    List<byte[]> commands = new ArrayList<>();
+    for (int i = 0; i < CLIENTS; i++) {
+      commands.add(insert(2));
+    }
+    for (String end : sendAll(commands)) {
+      assertTrue(end.startsWith("value vvvvvvvvvv") || end.startsWith("error 53300"), end);
+    }
+    assertServesOn();
+  }
+}
--- a/src/test/java/sprucerock/relay/platform/StatementsCompatTest.java
+++ b/src/test/java/sprucerock/relay/platform/StatementsCompatTest.java
@@ -52,7 +52,8 @@
     List<String> lines = new ArrayList<>();
     for (String text : statements) {
       try {
-        Statement read = Statement.read(text.getBytes(StandardCharsets.UTF_8), METHODS);
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        Statement read = Statement.read(bytes, bytes.length, METHODS);
         lines.add(
             "id "
                 + read.id
--- a/src/test/java/sprucerock/transport/net/nio/NioLoopTest.java
+++ b/src/test/java/sprucerock/transport/net/nio/NioLoopTest.java
@@ -217,4 +217,136 @@
     }
     assertEquals(nextEvent(), "server: closed by the other side");
   }
+
+  /** Guards against bytes that are lost, doubled or out of order around a pause. */
+  @Test
+  public void whatCameWhileReadingWasPausedIsPassedOnAfterwards() throws Exception {
+    InetSocketAddress server =
+        listen(
+            1,
+            1 << 20,
+            () ->
+                new EchoServer() {
+                  private int received;
+
+                  /** Takes one byte a call, and pauses after each. */
+                  @Override
+                  public void received(ByteBuffer bytes) {
+                    if (!bytes.hasRemaining()) {
+                      return;
+                    }
+                    received++;
+                    connection.append(new byte[] {bytes.get()});
+                    connection.pauseReading();
+                    if (received % 2 == 0) {
+                      loop.post(connection::resumeReading);
+                    } else {
+                      connection.resumeReading();
+                    }
+                  }
+                });
+    byte[] sent = new byte[40_000];
+    for (int i = 0; i < sent.length; i++) {
+      sent[i] = (byte) (i * 31 >> 3);
+    }
+    try (Socket client = new Socket(server.getAddress(), server.getPort())) {
+      client.getOutputStream().write(sent);
+      assertEquals(client.getInputStream().readNBytes(sent.length), sent);
+    }
+    assertEquals(nextEvent(), "server: closed by the other side");
+  }
+
+  @Test
+  public void aPartOfAnArrayIsSentWithoutTheRest() throws Exception {
+    InetSocketAddress server =
+        listen(
+            1,
+            1 << 20,
+            () ->
+                new EchoServer() {
+                  @Override
+                  public void received(ByteBuffer bytes) {
+                    byte[] large = new byte[300_000];
+                    Arrays.fill(large, 100, 200_100, (byte) 7);
+                    connection.append(new byte[] {1});
+                    connection.append(large, 100, 200_000);
+                    connection.append(new byte[] {2});
+                  }
+                });
+    try (Socket client = new Socket(server.getAddress(), server.getPort())) {
+      client.getOutputStream().write(1);
+      byte[] expected = new byte[200_002];
+      Arrays.fill(expected, (byte) 7);
+      expected[0] = 1;
+      expected[200_001] = 2;
+      assertEquals(client.getInputStream().readNBytes(200_002), expected);
+    }
+    assertEquals(nextEvent(), "server: closed by the other side");
+  }
+
+  /** Guards against a connection that stays open after a fault, and that nobody reads any more. */
+  @Test
+  public void aListenerThatFailsHasItsConnectionClosed() throws Exception {
+    InetSocketAddress server =
+        listen(
+            1,
+            1 << 20,
+            () ->
+                new EchoServer() {
+                  @Override
+                  public void received(ByteBuffer bytes) {
+                    throw new IllegalStateException("a fault");
+                  }
+                });
+    try (Socket client = new Socket(server.getAddress(), server.getPort())) {
+      client.getOutputStream().write(1);
+      assertEquals(client.getInputStream().read(), -1);
+    }
+    assertTrue(nextEvent().startsWith("server: fault of this program"));
+    assertEquals(errors.size(), 1);
+    errors.clear();
+  }
+
+  /** Guards against a loop that goes on with what it left half done for want of memory. */
+  @Test
+  public void wantOfMemoryEndsTheThread() throws Exception {
+    loop.post(
+        () ->
+            Thread.currentThread()
+                .setUncaughtExceptionHandler((thread, fault) -> events.add("ended: " + fault)));
+    loop.post(
+        () -> {
+          throw new OutOfMemoryError("a test");
+        });
+    assertEquals(nextEvent(), "ended: java.lang.OutOfMemoryError: a test");
+  }
+
+  /** Guards against buffers of closed connections that only the garbage collector would free. */
+  @Test
+  public void buffersOfConnectionsThatWereCutAreUsedAgain() throws Exception {
+    InetSocketAddress server =
+        listen(
+            10,
+            1 << 16,
+            () ->
+                new EchoServer() {
+                  @Override
+                  public void received(ByteBuffer bytes) {
+                    for (int i = 0; i < 8; i++) {
+                      connection.reserve(16_000);
+                    }
+                  }
+                });
+    int afterFirst = 0;
+    for (int i = 0; i < 20; i++) {
+      try (Socket client = new Socket(server.getAddress(), server.getPort())) {
+        client.getOutputStream().write(1);
+        assertTrue(nextEvent().startsWith("server: does not read"));
+      }
+      loop.post(() -> events.add("buffers " + loop.allocatedBuffers()));
+      int now = Integer.parseInt(nextEvent().substring("buffers ".length()));
+      afterFirst = i == 0 ? now : afterFirst;
+      assertEquals(now, afterFirst);
+    }
+  }
 }
--- a/src/test/java/sprucerock/transport/postgres/MessageFramerTest.java
+++ b/src/test/java/sprucerock/transport/postgres/MessageFramerTest.java
@@ -130,4 +130,38 @@
         ProtocolException.class,
         () -> MessageReader.parseErrorField(Arrays.copyOf(body, body.length - 1), 'C'));
   }
+
+  /** Guards against messages that are read although there is no memory for them. */
+  @Test
+  public void aMessageIsReadOnceItIsAdmitted() throws ProtocolException {
+    byte[] message = MessageWriter.query("a".repeat(700).getBytes(StandardCharsets.US_ASCII));
+    for (int piece = 1; piece <= message.length; piece++) {
+      boolean[] admits = new boolean[1];
+      RecordingListener recorded = new RecordingListener();
+      MessageFramer framer =
+          MessageFramer.fromClient(
+              1000,
+              bytes -> {
+                assertEquals(bytes, 701);
+                return admits[0];
+              });
+      framer.startupComplete();
+      int at = 0;
+      while (!framer.isBlocked()) {
+        ByteBuffer next = ByteBuffer.wrap(message, at, Math.min(piece, message.length - at));
+        framer.feed(next, recorded);
+        at = next.position();
+      }
+      assertEquals(at, 5);
+      assertEquals(framer.admittedBytes(), 0);
+      framer.feed(ByteBuffer.wrap(message, at, message.length - at), recorded);
+      assertTrue(framer.isBlocked());
+      admits[0] = true;
+      framer.feed(ByteBuffer.allocate(0), recorded);
+      assertEquals(framer.admittedBytes(), 701);
+      framer.feed(ByteBuffer.wrap(message, at, message.length - at), recorded);
+      assertEquals(recorded.messages, List.of("Q701"));
+      assertEquals(framer.admittedBytes(), 0);
+    }
+  }
 }
