End the process when a thread ends by an error: it would stay and answer nobody

Cause: the loop and the channel group's thread ended, nothing replaced them, and the main thread waits on a latch. A reload ended its thread by any unexpected exception. Reloads report an unexpected exception and go on.

--- a/src/main/java/sprucerock/cli/AgentCommand.java
+++ b/src/main/java/sprucerock/cli/AgentCommand.java
@@ -54,6 +54,7 @@
       return Commands.DONE;
     }
     Logs.to(form.equals("json") ? Logs.Form.JSON : Logs.Form.PLAIN);
+    FatalThreadHandler.install();
     NioLoop loop =
         new NioLoop(
             "agent",
--- a/src/main/java/sprucerock/cli/ControllerCommand.java
+++ b/src/main/java/sprucerock/cli/ControllerCommand.java
@@ -52,6 +52,7 @@
       return Commands.DONE;
     }
     Logs.to(form.equals("json") ? Logs.Form.JSON : Logs.Form.PLAIN);
+    FatalThreadHandler.install();
     ControllerServer desk =
         new ControllerServer(
             config,
--- a/src/main/java/sprucerock/cli/RelayCommand.java
+++ b/src/main/java/sprucerock/cli/RelayCommand.java
@@ -81,7 +81,7 @@
       }
       inForce = text;
       loop.post(() -> relay.reload(anew));
-    } catch (ConfigException | IOException e) {
+    } catch (ConfigException | IOException | RuntimeException e) {
       loop.post(() -> relay.reloadFailed(e.getMessage()));
     }
   }
@@ -91,6 +91,7 @@
     if (!form.equals("plain") && !form.equals("json")) {
       throw new ConfigException("--log is plain or json, not " + form);
     }
+    FatalThreadHandler.install();
     RelayConfig config = RelayConfig.read(file);
     inForce = Files.readString(file);
     Logs.to(form.equals("json") ? Logs.Form.JSON : Logs.Form.PLAIN);
