Bound in sum what incomplete frames and bodies of open RPCs hold

Cause: over frames, too, limits held for each connection alone: frames of up to limits/frame on each client's, endpoint's, relay's and agent's connection, and bodies of up to limits/open RPCs. Change: a frame for which there is no memory is read without its body: an RPC is pushed back, an attempt ends as broken, any other frame ends its connection. Bodies of open RPCs count too. Result: FrameReaderTest reads large frames in pieces of any size without memory, and what was held is released.

--- a/src/main/java/sprucerock/controller/server/AgentListener.java
+++ b/src/main/java/sprucerock/controller/server/AgentListener.java
@@ -20,6 +20,7 @@
 import sprucerock.controller.v1.Silent;
 import sprucerock.time.TimeSpan;
 import sprucerock.time.Timestamp;
+import sprucerock.transport.net.MemoryLimit;
 import sprucerock.transport.net.Net;
 import sprucerock.transport.wire.FrameConnection;
 import sprucerock.transport.wire.FrameKind;
@@ -41,6 +42,10 @@
  */
 final class AgentListener implements DeploymentMonitor.Listener {
   private static final byte[] NO_BODY = {};
+
+  /** Of the heap's size, for incomplete frames of all connections together. */
+  private static final double FRAME_MEMORY_SHARE = 1.0 / 16;
+
   private static final int MAX_AGENT_NUMBER = 65_534;
   private static final int MAX_FRAME_BYTES = 1 << 20;
   private static final long MAX_UNSENT_BYTES = 4L << 20;
@@ -58,6 +63,7 @@
   private final FrameTap tap;
   private final ControllerServer controller;
   private final ArtifactSender artifactSender;
+  private final MemoryLimit frameMemory = MemoryLimit.ofHeap(FRAME_MEMORY_SHARE, () -> 0);
   private final DeploymentMonitor monitor;
   private final TreeMap<Integer, Session> sessions = new TreeMap<>();
   private final DisconnectedAgents disconnected = new DisconnectedAgents();
@@ -201,6 +207,7 @@
                 .setName(config.name)
                 .build(),
             limits,
+            frameMemory,
             tap,
             this);
     private int number;
--- a/src/main/java/sprucerock/controller/server/RelayListener.java
+++ b/src/main/java/sprucerock/controller/server/RelayListener.java
@@ -13,6 +13,7 @@
 import sprucerock.controller.v1.FamiliesWorth;
 import sprucerock.controller.v1.Input;
 import sprucerock.time.TimeSpan;
+import sprucerock.transport.net.MemoryLimit;
 import sprucerock.transport.net.Net;
 import sprucerock.transport.net.Timers;
 import sprucerock.transport.wire.FrameConnection;
@@ -38,6 +39,10 @@
  */
 final class RelayListener {
   private static final byte[] NO_BODY = {};
+
+  /** Of the heap's size, for incomplete frames of all connections together. */
+  private static final double FRAME_MEMORY_SHARE = 1.0 / 16;
+
   private static final int MAX_FRAME_BYTES = 64 * 1024;
   private static final TimeSpan HEARTBEAT_INTERVAL = TimeSpan.ofMs(2000);
   private static final TimeSpan STATUS_RETRY_INTERVAL = TimeSpan.ofMs(100);
@@ -47,6 +52,7 @@
   private final ControllerConfig config;
   private final FrameLimits limits;
   private final FrameTap tap;
+  private final MemoryLimit frameMemory = MemoryLimit.ofHeap(FRAME_MEMORY_SHARE, () -> 0);
   private final ControllerServer controller;
   private final Set<Session> sessions = new LinkedHashSet<>();
   private final RackList rackList;
@@ -150,6 +156,7 @@
                 .setName(config.name)
                 .build(),
             limits,
+            frameMemory,
             tap,
             this);
     private Timers.Timer retryTimer;
--- a/src/main/java/sprucerock/lease/GrantorListener.java
+++ b/src/main/java/sprucerock/lease/GrantorListener.java
@@ -9,6 +9,7 @@
 import sprucerock.config.LeaseConfig;
 import sprucerock.time.TimeSpan;
 import sprucerock.time.Timestamp;
+import sprucerock.transport.net.MemoryLimit;
 import sprucerock.transport.net.Net;
 import sprucerock.transport.wire.FrameConnection;
 import sprucerock.transport.wire.FrameKind;
@@ -36,6 +37,10 @@
   // tenth of this number. Requests beyond the limit get no answer: the client's rounds time out.
   private static final int MAX_REQUESTS_PER_SECOND = 2000;
 
+  /** Of the heap's size, for incomplete frames of all connections together. */
+  private static final double FRAME_MEMORY_SHARE = 1.0 / 16;
+
+  private final MemoryLimit frameMemory = MemoryLimit.ofHeap(FRAME_MEMORY_SHARE, () -> 0);
   private final Net net;
   private final LeaseConfig config;
   private final FrameTap tap;
@@ -83,7 +88,8 @@
             () -> {
               Session session = new Session();
               session.connection =
-                  new FrameConnection(net, hello, LeaseManager.FRAME_LIMITS, tap, session);
+                  new FrameConnection(
+                      net, hello, LeaseManager.FRAME_LIMITS, frameMemory, tap, session);
               return session.connection;
             });
     log.info(
--- a/src/main/java/sprucerock/relay/frames/ClientConnections.java
+++ b/src/main/java/sprucerock/relay/frames/ClientConnections.java
@@ -10,6 +10,7 @@
 import sprucerock.accounting.RequestTracker;
 import sprucerock.config.RelayConfig;
 import sprucerock.relay.engine.EventLog;
+import sprucerock.transport.net.MemoryLimit;
 import sprucerock.transport.net.Net;
 import sprucerock.transport.tls.TlsConnection;
 import sprucerock.transport.wire.FrameConnection;
@@ -32,6 +33,7 @@
   private final FrameTap tap;
   private final TlsConnections tlsConnections;
   private final FleetTasks fleetTasks;
+  private final MemoryLimit requestMemory;
   private final RequestTracker requestTracker;
   private final MethodAccounts accounts;
   private final EventLog eventLog;
@@ -52,6 +54,7 @@
       FrameTap tap,
       TlsConnections tlsConnections,
       FleetTasks fleetTasks,
+      MemoryLimit requestMemory,
       RequestTracker requestTracker,
       EventLog eventLog,
       BooleanSupplier isShuttingDown) {
@@ -62,6 +65,7 @@
     this.tap = tap;
     this.tlsConnections = tlsConnections;
     this.fleetTasks = fleetTasks;
+    this.requestMemory = requestMemory;
     this.requestTracker = requestTracker;
     this.accounts = requestTracker.accounts();
     this.eventLog = eventLog;
@@ -86,7 +90,8 @@
               connections.add(client);
               return tlsConnections.accepted(
                   client,
-                  new FrameConnection(net, localHello, config.connectionLimits, tap, client));
+                  new FrameConnection(
+                      net, localHello, config.connectionLimits, requestMemory, tap, client));
             });
   }
 
@@ -165,14 +170,33 @@
     }
     String limit = limitReached(request.client);
     if (limit != null) {
-      accounts.postNew(accounts.calls, 0, 2);
-      request.client.answer(request, Ending.PUSHED_BACK, 0, 0, FrameClientConnection.NO_BODY);
-      eventLog.warn(EventLog.Event.TURNED_AWAY, limit);
+      reject(request, limit);
       return;
     }
+    if (!requestMemory.tryHold(request.body.length)) {
+      rejectForMemory(request);
+      return;
+    }
+    request.heldBytes = request.body.length;
     relay.requestAdmitted(request, call);
   }
 
+  /** Rejects a request for whose body there is no memory: it has not run. */
+  void rejectForMemory(FrameRequest request) {
+    reject(request, "the memory for open requests is full");
+  }
+
+  private void reject(FrameRequest request, String limit) {
+    accounts.postNew(accounts.calls, 0, 2);
+    request.client.answer(request, Ending.PUSHED_BACK, 0, 0, FrameClientConnection.NO_BODY);
+    eventLog.warn(EventLog.Event.TURNED_AWAY, limit);
+  }
+
+  /** A request's body is not needed any more. */
+  void requestReleased(int heldBytes) {
+    requestMemory.release(heldBytes);
+  }
+
   /** For the log, why a request can't be admitted; null where it can. */
   private String limitReached(FrameClientConnection client) {
     if (config.rejectsOnMetricsDrift && metricsMonitor.hasDrift()) {
--- a/src/main/java/sprucerock/relay/frames/EndpointConnection.java
+++ b/src/main/java/sprucerock/relay/frames/EndpointConnection.java
@@ -128,6 +128,21 @@
           case FULL -> AttemptOutcome.FULL;
           default -> AttemptOutcome.ERROR;
         };
+    resultReceived(done, outcome, body);
+  }
+
+  /** There is no memory for an answer: its attempt ends without one, and may have run. */
+  @Override
+  public void bodyDropped(FrameConnection made, FrameKind kind, MessageLite head) {
+    if (kind != FrameKind.DONE) {
+      made.cut("a unit sends no " + kind);
+      return;
+    }
+    pool.answerDropped();
+    resultReceived((Done) head, AttemptOutcome.BROKEN, NO_BODY);
+  }
+
+  private void resultReceived(Done done, AttemptOutcome outcome, byte[] body) {
     FrameExchange exchange = inFlight.remove(done.getId());
     if (exchange == null) {
       // late, for an abandoned one; an id that never was must not free capacity
--- a/src/main/java/sprucerock/relay/frames/EndpointConnectionPool.java
+++ b/src/main/java/sprucerock/relay/frames/EndpointConnectionPool.java
@@ -251,6 +251,10 @@
     listener.wrongEndpoint(endpoint, other);
   }
 
+  void answerDropped() {
+    listener.endpointLost(endpoint, "no memory for an answer of it");
+  }
+
   void attemptWritten(FrameExchange exchange) {
     listener.attemptWritten(exchange);
   }
--- a/src/main/java/sprucerock/relay/frames/EndpointConnections.java
+++ b/src/main/java/sprucerock/relay/frames/EndpointConnections.java
@@ -9,6 +9,7 @@
 import sprucerock.relay.engine.EventLog;
 import sprucerock.time.TimeSpan;
 import sprucerock.time.Timestamp;
+import sprucerock.transport.net.MemoryLimit;
 import sprucerock.transport.net.Net;
 import sprucerock.transport.net.Timers.Timer;
 import sprucerock.transport.tls.Refusal;
@@ -28,6 +29,7 @@
   private final Hello localHello;
   private final FrameTap tap;
   private final TlsConnections tlsConnections;
+  private final MemoryLimit answerMemory;
   private final RequestTracker requestTracker;
   private final EventLog eventLog;
 
@@ -38,6 +40,7 @@
       Hello localHello,
       FrameTap tap,
       TlsConnections tlsConnections,
+      MemoryLimit answerMemory,
       RequestTracker requestTracker,
       EventLog eventLog) {
     this.relay = relay;
@@ -46,6 +49,7 @@
     this.localHello = localHello;
     this.tap = tap;
     this.tlsConnections = tlsConnections;
+    this.answerMemory = answerMemory;
     this.requestTracker = requestTracker;
     this.eventLog = eventLog;
   }
@@ -68,7 +72,7 @@
   void openProbeConnection(
       Endpoint endpoint, FrameListener listener, HealthChecker.ConnectionTaker taker) {
     FrameConnection connection =
-        new FrameConnection(net, localHello, config.connectionLimits, tap, listener);
+        new FrameConnection(net, localHello, config.connectionLimits, answerMemory, tap, listener);
     taker.take(connection);
     EndpointConnectionPool pool = (EndpointConnectionPool) endpoint.attachment;
     tlsConnections.connectToEndpoint(endpoint.id, pool.address(), pool.tlsName(), connection);
@@ -77,7 +81,8 @@
   @Override
   public void openConnection(EndpointConnection connection, InetSocketAddress to, String name) {
     connection.connection =
-        new FrameConnection(net, localHello, config.connectionLimits, tap, connection);
+        new FrameConnection(
+            net, localHello, config.connectionLimits, answerMemory, tap, connection);
     tlsConnections.connectToEndpoint(connection.endpoint().id, to, name, connection.connection);
   }
 
--- a/src/main/java/sprucerock/relay/frames/FrameClientConnection.java
+++ b/src/main/java/sprucerock/relay/frames/FrameClientConnection.java
@@ -82,6 +82,27 @@
     owner.requestReceived(request, call);
   }
 
+  @Override
+  public void bodyDropped(FrameConnection made, FrameKind kind, MessageLite head) {
+    if (isPeer || kind != FrameKind.CALL) {
+      made.cut("no memory for the body of " + kind);
+      return;
+    }
+    Call call = (Call) head;
+    if (openRequests.containsKey(call.getId())) {
+      made.cut("RPC id " + call.getId() + " is still open");
+      return;
+    }
+    FrameRequest request = new FrameRequest(this, call.getId(), call.getToken(), NO_BODY);
+    openRequests.put(request.clientRequestId, request);
+    owner.rejectForMemory(request);
+  }
+
+  /** The request's body is not needed any more. */
+  void requestReleased(int heldBytes) {
+    owner.requestReleased(heldBytes);
+  }
+
   private void requestWithdrawn(Leave leave) {
     FrameRequest request = openRequests.remove(leave.getId());
     if (request != null) {
--- a/src/main/java/sprucerock/relay/frames/FrameRelay.java
+++ b/src/main/java/sprucerock/relay/frames/FrameRelay.java
@@ -18,6 +18,7 @@
 import sprucerock.stats.DeterministicRandom;
 import sprucerock.time.TimeSpan;
 import sprucerock.time.Timestamp;
+import sprucerock.transport.net.MemoryLimit;
 import sprucerock.transport.net.Net;
 import sprucerock.transport.tls.Aside;
 import sprucerock.transport.tls.Material;
@@ -87,7 +88,15 @@
             this::stateReceived);
     endpoints =
         new EndpointConnections(
-            this, net, config, hello, tap, tlsConnections, requestTracker, eventLog);
+            this,
+            net,
+            config,
+            hello,
+            tap,
+            tlsConnections,
+            MemoryLimit.ofHeap(ANSWER_MEMORY_SHARE, net::unsentOnAccepted),
+            requestTracker,
+            eventLog);
     fleetTasks =
         new FleetTasks(
             net, config, tap, requestTracker, eventLog, random, peers, controller, endpoints);
@@ -115,6 +124,7 @@
             tap,
             tlsConnections,
             fleetTasks,
+            MemoryLimit.ofHeap(REQUEST_MEMORY_SHARE, () -> 0),
             requestTracker,
             eventLog,
             shutdown::hasBegun);
--- a/src/main/java/sprucerock/relay/frames/FrameRequest.java
+++ b/src/main/java/sprucerock/relay/frames/FrameRequest.java
@@ -9,6 +9,9 @@
   final long idempotencyKey;
   byte[] body;
 
+  /** What is held for the body of the memory for requests; 0 until it is admitted. */
+  int heldBytes;
+
   FrameRequest(FrameClientConnection client, long id, long token, byte[] body) {
     this.client = client;
     this.clientRequestId = id;
@@ -22,4 +25,9 @@
     super.complete();
     body = null;
   }
+
+  @Override
+  protected void released() {
+    client.requestReleased(heldBytes);
+  }
 }
--- a/src/main/java/sprucerock/transport/wire/FrameConnection.java
+++ b/src/main/java/sprucerock/transport/wire/FrameConnection.java
@@ -8,6 +8,7 @@
 import sprucerock.time.Timestamp;
 import sprucerock.transport.net.Connection;
 import sprucerock.transport.net.ConnectionListener;
+import sprucerock.transport.net.MemoryLimit;
 import sprucerock.transport.net.Timers;
 import sprucerock.transport.wire.v1.Beat;
 import sprucerock.transport.wire.v1.Hello;
@@ -52,12 +53,27 @@
    */
   public FrameConnection(
       Timers timers, Hello localHello, FrameLimits limits, FrameTap tap, FrameListener listener) {
+    this(timers, localHello, limits, MemoryLimit.none(), tap, listener);
+  }
+
+  /**
+   * The same.
+   *
+   * @param memory what incomplete frames of several connections may hold together
+   */
+  public FrameConnection(
+      Timers timers,
+      Hello localHello,
+      FrameLimits limits,
+      MemoryLimit memory,
+      FrameTap tap,
+      FrameListener listener) {
     this.timers = timers;
     this.localHello = localHello;
     this.limits = limits;
     this.tap = tap;
     this.listener = listener;
-    reader = new FrameReader(limits.maxFrameBytes());
+    reader = new FrameReader(limits.maxFrameBytes(), memory);
   }
 
   /** The other side's greeting; null before it came. */
@@ -156,13 +172,38 @@
   public void received(ByteBuffer bytes) {
     lastReceived = timers.now();
     try {
-      reader.feed(bytes, this::frame);
+      reader.feed(bytes, frames);
     } catch (MalformedFrameException e) {
       cut("not this protocol: " + e.getMessage());
     }
   }
 
-  private void frame(FrameKind kind, MessageLite head, byte[] body) {
+  private final FrameReader.Sink frames =
+      new FrameReader.Sink() {
+        @Override
+        public void frame(FrameKind kind, MessageLite head, byte[] body) {
+          frameReceived(kind, head, body);
+        }
+
+        @Override
+        public void frameWithoutBody(FrameKind kind, MessageLite head) {
+          bodyDropped(kind, head);
+        }
+      };
+
+  private void bodyDropped(FrameKind kind, MessageLite head) {
+    if (isClosed) {
+      return;
+    }
+    tap.frame(this, false, kind, head, FrameReader.NO_BODY);
+    if (remoteHello == null) {
+      cut("sent " + kind + " before its greeting");
+    } else {
+      listener.bodyDropped(this, kind, head);
+    }
+  }
+
+  private void frameReceived(FrameKind kind, MessageLite head, byte[] body) {
     if (isClosed) {
       return;
     }
@@ -232,6 +273,7 @@
   @Override
   public void closed(String why) {
     isClosed = true;
+    reader.close();
     String reason = reader.hasPartialFrame() && cutReason == null ? why + ", within a frame" : why;
     tap.closed(this, reason);
     listener.closed(reason);
--- a/src/main/java/sprucerock/transport/wire/FrameListener.java
+++ b/src/main/java/sprucerock/transport/wire/FrameListener.java
@@ -16,6 +16,11 @@
    */
   void frameReceived(FrameKind kind, MessageLite head, byte[] body);
 
+  /** A frame came whose body was not kept, as there was no memory for it. */
+  default void bodyDropped(FrameConnection connection, FrameKind kind, MessageLite head) {
+    connection.cut("no memory for the body of " + kind);
+  }
+
   /** The connection is gone, or never came up; called once. */
   void closed(String why);
 }
--- a/src/test/java/sprucerock/transport/wire/FrameReaderTest.java
+++ b/src/test/java/sprucerock/transport/wire/FrameReaderTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.testng.annotations.Test;
+import sprucerock.transport.net.MemoryLimit;
 import sprucerock.transport.net.SimulatedNet;
 import sprucerock.transport.wire.v1.Call;
 import sprucerock.transport.wire.v1.Hello;
@@ -166,6 +167,66 @@
         .getMessage();
   }
 
+  /** Notes frames with the length of their body, -1 where it was left out. */
+  private static final class BodyLengths implements FrameReader.Sink {
+    final List<Integer> seen = new ArrayList<>();
+
+    @Override
+    public void frame(FrameKind kind, MessageLite head, byte[] body) {
+      seen.add(body.length);
+    }
+
+    @Override
+    public void frameWithoutBody(FrameKind kind, MessageLite head) {
+      assertEquals(((Call) head).getId(), 7);
+      seen.add(-1);
+    }
+  }
+
+  private static byte[] call(int bodyBytes) {
+    return frame(
+        2,
+        Call.newBuilder().setId(7).setMethod(2).setLeftUs(600_000).build().toByteArray(),
+        new byte[bodyBytes]);
+  }
+
+  /** Guards against large frames of many connections, each within its limit, that fill the heap. */
+  @Test
+  public void aLargeFrameWithoutMemoryIsReadWithoutItsBody() throws MalformedFrameException {
+    byte[] all = Arrays.copyOf(call(5000), call(5000).length + call(10).length);
+    System.arraycopy(call(10), 0, all, call(5000).length, call(10).length);
+    for (int piece = 1; piece < 6000; piece += 7) {
+      MemoryLimit memory = new MemoryLimit(4000, () -> 0);
+      FrameReader reader = new FrameReader(10_000, memory);
+      BodyLengths sink = new BodyLengths();
+      for (int at = 0; at < all.length; at += piece) {
+        reader.feed(ByteBuffer.wrap(all, at, Math.min(piece, all.length - at)), sink);
+        assertEquals(memory.heldBytes(), 0);
+      }
+      // in one piece it needs no buffer
+      assertEquals(sink.seen, List.of(piece >= call(5000).length ? 5000 : -1, 10));
+    }
+  }
+
+  @Test
+  public void whatIncompleteFramesHoldIsReleased() throws MalformedFrameException {
+    MemoryLimit memory = new MemoryLimit(12_000, () -> 0);
+    FrameReader first = new FrameReader(10_000, memory);
+    FrameReader second = new FrameReader(10_000, memory);
+    BodyLengths sink = new BodyLengths();
+    byte[] all = call(9000);
+    first.feed(ByteBuffer.wrap(all, 0, 2000), sink);
+    assertEquals(memory.heldBytes(), all.length);
+    second.feed(ByteBuffer.wrap(all, 0, 2000), sink);
+    assertEquals(sink.seen, List.of(-1));
+    first.feed(ByteBuffer.wrap(all, 2000, all.length - 2000), sink);
+    assertEquals(sink.seen, List.of(-1, 9000));
+    assertEquals(memory.heldBytes(), 0);
+    first.feed(ByteBuffer.wrap(all, 0, 2000), sink);
+    first.close();
+    assertEquals(memory.heldBytes(), 0);
+  }
+
   @Test
   public void randomBytesAtMostEndTheReading() {
     SplittableRandom random = new SplittableRandom(3);
