Have CrossingsTest wait until the relay has read its first list

The test posts the new configuration while the first list may still be unread. A watch that has told nothing yet is no old watch that "still tells": ReconnectingWatch.move gives it up, as it is meant to. The premise of the test was left to chance.

Change: starts(), which promises a relay that "has its list", waits until the list was read. The assertions are as they were; all tests of the class now begin with what the comment says.

--- a/src/test/java/sprucerock/relay/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/CrossingsTest.java
@@ -95,7 +95,11 @@
             throw new UncheckedIOException(e);
           }
         });
-    return discovery.call().begins().list(4, false);
+    Peers.Agent.Call told = discovery.call().begins().list(4, false);
+    // guards against a test whose next event comes before the list was read: a watch that has told
+    // nothing yet is given up as discovery moves
+    Peers.read(told.socket);
+    return told;
   }
 
   @AfterMethod
