Let a relay listen at a port that the system chooses, and have the tests of serve do so

A relay that could not listen left only an exception that the test did not show.

Change: listen may have the port 0; STARTED tells the port that is bound. The tests of serve bind once: those in the process by LoopRelay, which throws what kept the relay from listening; those with a process by ServeProcess, which reads the port in its log. Three classes started a relay and read its log by the same lines each; that stands once now. ServeKillTest still starts a killed relay again at the same address. Rehearsals (ScenarioRunner) and ProcessCompatTest still find free ports: their processes are told each other's ports before they start.

--- a/src/main/java/sprucerock/relay/platform/ClientListener.java
+++ b/src/main/java/sprucerock/relay/platform/ClientListener.java
@@ -98,6 +98,11 @@
     listener.startAccepting();
   }
 
+  /** Where it listens, with the port that was chosen. */
+  InetSocketAddress address() {
+    return listener.address();
+  }
+
   int size() {
     return connections.size();
   }
--- a/src/main/java/sprucerock/relay/platform/PlatformConfig.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformConfig.java
@@ -53,10 +53,8 @@
       throws ConfigException {
     name = environment.getOrDefault("LB_NAME", text(file, root, "name", "relay"));
     listen =
-        address(
-            file,
-            environment.getOrDefault("LB_LISTEN", text(file, root, "listen", null)),
-            "listen");
+        listenAddress(
+            file, environment.getOrDefault("LB_LISTEN", text(file, root, "listen", null)));
     discovery =
         address(file, text(file, root, "discovery", environment.get("LB_DISCOVERY")), "discovery");
     desk =
@@ -168,14 +166,26 @@
     return address;
   }
 
+  /** Where to listen; the system chooses a port in place of 0. */
+  private static InetSocketAddress listenAddress(Path file, String text) throws ConfigException {
+    InetSocketAddress address = parse(text);
+    return address != null ? address : address(file, text, "listen");
+  }
+
   /** An address and its port; null where the text is none. */
   static InetSocketAddress of(String text) {
+    InetSocketAddress address = parse(text);
+    return address == null || address.getPort() == 0 ? null : address;
+  }
+
+  /** The same, with the port 0 allowed. */
+  private static InetSocketAddress parse(String text) {
     int colon = text.lastIndexOf(':');
     if (colon <= 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
       return null;
     }
     int port = Integer.parseInt(text.substring(colon + 1));
-    return port == 0 || port > 65535 ? null : Address.of(text.substring(0, colon), port);
+    return port > 65535 ? null : Address.of(text.substring(0, colon), port);
   }
 
   private static long seed(Path file, String text) throws ConfigException {
--- a/src/main/java/sprucerock/relay/platform/PlatformRelay.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformRelay.java
@@ -172,6 +172,11 @@
     beat(net.now());
   }
 
+  /** Where it listens for clients once it has started, with the port that was chosen. */
+  public InetSocketAddress listenAddress() {
+    return clients.address();
+  }
+
   /**
    * Says when the loop stood still, and for how long: whatever came meanwhile was acted on that
    * late.
@@ -225,7 +230,7 @@
             + " of "
             + settings.relayCount
             + ", listens at "
-            + config.listen
+            + clients.address()
             + ", "
             + how);
     askSettings();
--- a/src/test/java/sprucerock/relay/platform/ClientCrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/ClientCrossingsTest.java
@@ -3,8 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
@@ -36,7 +34,7 @@
 public class ClientCrossingsTest {
   private static final String CONFIG =
       """
-        {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c1f30d27a5be964","limits":{"sockets":128},
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964","limits":{"sockets":128},
          "release_api":{"address":"%s","news":{"build":8,"stage":1,"phase":"PHASE","cap":1.0,"age_ms":100}},
          "known":{"version":4,"full":true,"servers":[%s]},
          "settings":{"balancers":1,"index":0,"my_zone":0,"tick":5,"zones":["a"],"kinds":["m"],"membership_mode":"push",
@@ -94,28 +92,23 @@
   }
 
   private void starts(String... known) throws Exception {
-    port = Peers.freePort();
     Peers.Agent discovery = peers.new Agent();
     String text =
         CONFIG
             .replace("CANCEL", "" + cancel)
             .replace("PHASE", trial ? "Progressing" : "Healthy")
             .replace("ON_TIME", "" + onTime)
-            .formatted(
-                port, discovery.address(), peers.new Agent().address(), String.join(",", known));
+            .formatted(discovery.address(), peers.new Agent().address(), String.join(",", known));
     PlatformConfig config =
         PlatformConfig.of(Path.of("test"), text.getBytes(StandardCharsets.UTF_8), Map.of());
     loop = new NioLoop("relay", broken::add);
-    loop.post(
-        () -> {
-          serving = new PlatformRelay(config, loop, System.currentTimeMillis(), () -> {});
-          try {
-            serving.start(
-                (host, settings, seed) -> new RoutingPolicy(watched(host), settings, seed));
-          } catch (IOException e) {
-            throw new UncheckedIOException(e);
-          }
-        });
+    LoopRelay started =
+        LoopRelay.start(
+            loop,
+            config,
+            (host, settings, seed) -> new RoutingPolicy(watched(host), settings, seed));
+    serving = started.relay();
+    port = started.port();
     discovery.call().begins().list(4, false);
     marker = client();
   }
--- a/src/test/java/sprucerock/relay/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/CrossingsTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -35,7 +36,7 @@
 public class CrossingsTest {
   private static final String CONFIG =
       """
-        {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c1f30d27a5be964","limits":{"sockets":%d},
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964","limits":{"sockets":%d},
          "release_api":{"address":"%s","news":{"build":7,"stage":0,"phase":"Healthy","cap":0.0,"age_ms":90000}},
          "known":{"version":4,"full":true,"servers":[%s]},
          "settings":{"balancers":1,"index":0,"my_zone":0,"tick":5,"zones":["a"],"kinds":["m"],"membership_mode":"push",
@@ -77,24 +78,16 @@
 
   /** A relay that knows these units, and has its list and a client that was welcomed. */
   private Peers.Agent.Call starts(String... known) throws Exception {
-    port = Peers.freePort();
     String text =
         CONFIG
             .replace("LONGEST", "" + longest)
-            .formatted(
-                port, discovery.address(), sockets, desk.address(), String.join(",", known), idle);
+            .formatted(discovery.address(), sockets, desk.address(), String.join(",", known), idle);
     PlatformConfig config =
         PlatformConfig.of(Path.of("test"), text.getBytes(StandardCharsets.UTF_8), Map.of());
     loop = new NioLoop("relay", broken::add);
-    loop.post(
-        () -> {
-          serving = new PlatformRelay(config, loop, System.currentTimeMillis(), () -> {});
-          try {
-            serving.start(RoutingPolicy::new);
-          } catch (IOException e) {
-            throw new UncheckedIOException(e);
-          }
-        });
+    LoopRelay started = LoopRelay.start(loop, config, RoutingPolicy::new);
+    serving = started.relay();
+    port = started.port();
     Peers.Agent.Call told = discovery.call().begins().list(4, false);
     // guards against a test whose next event comes before the list was read: a watch that has told
     // nothing yet is given up as discovery moves
@@ -426,7 +419,7 @@
     String moved =
         CONFIG
             .replace("LONGEST", "" + longest)
-            .formatted(port, elsewhere.address(), sockets, desk.address(), "", idle);
+            .formatted(elsewhere.address(), sockets, desk.address(), "", idle);
     PlatformConfig anew =
         PlatformConfig.of(Path.of("test"), moved.getBytes(StandardCharsets.UTF_8), Map.of());
     loop.post(() -> serving.reload(anew));
@@ -577,7 +570,6 @@
    */
   @Test
   public void aClientComesAsTheDoorCloses() throws Exception {
-    port = Peers.freePort();
     loop = new NioLoop("relay", broken::add);
     Method look =
         new Method(
@@ -588,7 +580,7 @@
             TimeSpan.ZERO,
             1,
             false);
-    CountDownLatch listens = new CountDownLatch(1);
+    CompletableFuture<Integer> listens = new CompletableFuture<>();
     CountDownLatch held = new CountDownLatch(1);
     CountDownLatch go = new CountDownLatch(1);
     ClientListener[] door = new ClientListener[1];
@@ -616,14 +608,14 @@
                   10,
                   10);
           try {
-            door[0].start(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            door[0].start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
           } catch (IOException e) {
             throw new UncheckedIOException(e);
           }
           door[0].take();
-          listens.countDown();
+          listens.complete(door[0].address().getPort());
         });
-    Peers.await(listens, "the door");
+    port = listens.get(Peers.LONG, TimeUnit.SECONDS);
     loop.post(
         () -> {
           loop.at(
--- a/src/test/java/sprucerock/relay/platform/InventedSettingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/InventedSettingsTest.java
@@ -3,8 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -50,11 +48,8 @@
   }
 
   private void starts(int sockets, String news, String settings) throws Exception {
-    port = Peers.freePort();
     String text =
-        "{\"name\":\"n\",\"listen\":\"127.0.0.1:"
-            + port
-            + "\",\"discovery\":\""
+        "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
             + discovery.address()
             + "\",\"seed\":\"f\",\"limits\":{\"sockets\":"
             + sockets
@@ -68,15 +63,9 @@
     PlatformConfig config =
         PlatformConfig.of(Path.of("test"), text.getBytes(StandardCharsets.UTF_8), Map.of());
     loop = new NioLoop("relay", broken::add);
-    loop.post(
-        () -> {
-          serving = new PlatformRelay(config, loop, System.currentTimeMillis(), () -> {});
-          try {
-            serving.start(RoutingPolicy::new);
-          } catch (IOException e) {
-            throw new UncheckedIOException(e);
-          }
-        });
+    LoopRelay started = LoopRelay.start(loop, config, RoutingPolicy::new);
+    serving = started.relay();
+    port = started.port();
   }
 
   private void listed(int build) throws Exception {
--- a/src/test/java/sprucerock/relay/platform/ListCrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/ListCrossingsTest.java
@@ -3,8 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -27,7 +25,7 @@
 public class ListCrossingsTest {
   private static final String CONFIG =
       """
-        {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c1f30d27a5be964","limits":{"sockets":128},
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964","limits":{"sockets":128},
          "release_api":{"address":"%s","news":{"build":7,"stage":0,"phase":"Healthy","cap":0.0,"age_ms":90000}},
          "known":{"version":4,"full":true,"servers":[%s]},
          "settings":{"balancers":1,"index":0,"my_zone":0,"tick":5,"zones":["a"],"kinds":["m"],"membership_mode":"push",
@@ -61,18 +59,11 @@
     elsewhere = peers.new Agent();
     desk = peers.new Agent();
     broken.clear();
-    port = Peers.freePort();
     PlatformConfig config = config(discovery);
     loop = new NioLoop("relay", broken::add);
-    loop.post(
-        () -> {
-          serving = new PlatformRelay(config, loop, System.currentTimeMillis(), () -> {});
-          try {
-            serving.start(RoutingPolicy::new);
-          } catch (IOException e) {
-            throw new UncheckedIOException(e);
-          }
-        });
+    LoopRelay started = LoopRelay.start(loop, config, RoutingPolicy::new);
+    serving = started.relay();
+    port = started.port();
     watch = discovery.call().begins().list(4, false);
     peers.new Client(port).welcomed(); // no client is before the list
   }
@@ -103,8 +94,7 @@
   }
 
   private PlatformConfig config(Peers.Agent at) throws Exception {
-    String text =
-        CONFIG.formatted(port, at.address(), desk.address(), serves(one) + "," + serves(two));
+    String text = CONFIG.formatted(at.address(), desk.address(), serves(one) + "," + serves(two));
     return PlatformConfig.of(Path.of("test"), text.getBytes(StandardCharsets.UTF_8), Map.of());
   }
 
--- a/src/test/java/sprucerock/relay/platform/Peers.java
+++ b/src/test/java/sprucerock/relay/platform/Peers.java
@@ -48,12 +48,6 @@
     }
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return free.getLocalPort();
-    }
-  }
-
   /** Runs until its sockets are closed. */
   private interface Reads {
     void run() throws IOException;
--- a/src/test/java/sprucerock/relay/platform/ServeKillTest.java
+++ b/src/test/java/sprucerock/relay/platform/ServeKillTest.java
@@ -3,16 +3,11 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
-import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -48,9 +43,9 @@
   private Peers peers;
   private Peers.Unit endpoint;
   private Peers.Agent discovery;
+  private Peers.Agent desk;
   private Path file;
-  private Process relay;
-  private BlockingQueue<String> log;
+  private ServeProcess relay;
   private int port;
   private int ids;
 
@@ -59,58 +54,32 @@
     peers = new Peers();
     endpoint = peers.new Unit();
     discovery = peers.new Agent();
-    port = Peers.freePort();
+    desk = peers.new Agent();
     file = Files.createTempFile("serve", ".json");
-    Files.writeString(
-        file,
-        CONFIG.formatted(
-            port,
-            discovery.address(),
-            peers.new Agent().address(),
-            endpoint.entry("s-1", "SERVING", 7)));
+    port = 0; // the system chooses one
     starts();
   }
 
   private void starts() throws Exception {
-    ProcessBuilder builder =
-        new ProcessBuilder(
-                List.of(
-                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:+UseSerialGC",
-                    "-XX:TieredStopAtLevel=1",
-                    "-cp",
-                    System.getProperty("java.class.path"),
-                    "sprucerock.Main",
-                    "serve"))
-            .redirectErrorStream(true);
-    builder.environment().put("LB_CONFIG", file.toString());
-    relay = builder.start();
-    log = new LinkedBlockingQueue<>();
-    BlockingQueue<String> lines = log;
-    BufferedReader said =
-        new BufferedReader(new InputStreamReader(relay.getInputStream(), StandardCharsets.UTF_8));
-    Thread reader = new Thread(() -> said.lines().forEach(lines::add), "log");
-    reader.setDaemon(true);
-    reader.start();
+    Files.writeString(
+        file,
+        CONFIG.formatted(
+            port, discovery.address(), desk.address(), endpoint.entry("s-1", "SERVING", 7)));
+    relay = ServeProcess.start(file);
     discovery.call().begins().list(4, false);
-    while (!Peers.next(log, "in the log: STARTED").contains("STARTED")) {}
+    port = relay.awaitStarted();
   }
 
   @AfterMethod
   public void end() throws Exception {
-    relay.destroyForcibly();
+    relay.kill();
     peers.close();
     Files.delete(file);
   }
 
-  private void signal(String name) throws IOException, InterruptedException {
-    assertEquals(
-        new ProcessBuilder("sh", "-c", "kill -" + name + " " + relay.pid()).start().waitFor(), 0);
-  }
-
   /** Until the system says that no thread of it runs. */
   private void stops() throws Exception {
-    signal("STOP");
+    relay.signal("STOP");
     long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(Peers.LONG);
     while (!allStopped()) {
       assertTrue(System.nanoTime() < until, "it does not stop");
@@ -168,8 +137,8 @@
   @Test(dataProvider = "phases")
   public void killedBeforeARequestWasRead(Phase phase) throws Exception {
     Peers.Client client = asksWhoIsStopped(phase);
-    signal("KILL");
-    assertTrue(relay.waitFor(Peers.LONG, TimeUnit.SECONDS), "it does not end");
+    relay.signal("KILL");
+    relay.awaitExit();
     String last = client.answer();
     assertTrue(last.equals("closed") || last.equals("reset"), last);
     assertTrue(endpoint.seen.isEmpty(), endpoint.seen.toString());
@@ -188,9 +157,9 @@
   @Test(dataProvider = "phases")
   public void toldToEndBeforeARequestWasRead(Phase phase) throws Exception {
     Peers.Client client = asksWhoIsStopped(phase);
-    signal("TERM");
-    signal("CONT");
-    while (!Peers.next(log, "in the log: FINISHING").contains("FINISHING")) {}
+    relay.signal("TERM");
+    relay.signal("CONT");
+    relay.awaitLog("FINISHING");
     Peers.Unit.Query query = endpoint.asked.poll(Peers.LONG, TimeUnit.SECONDS);
     if (query == null) {
       throw new AssertionError("never sent on; its client was told: " + client.answer());
@@ -201,8 +170,7 @@
     }
     assertEquals(client.answer(), "value served");
     assertEquals(client.answer(), "closed");
-    assertTrue(relay.waitFor(Peers.LONG, TimeUnit.SECONDS), "it does not end");
-    assertEquals(relay.exitValue(), 0);
+    assertEquals(relay.awaitExit(), 0);
   }
 
   /**
@@ -214,7 +182,7 @@
     Peers.Client client = peers.new Client(port).welcomed();
     client.sends(pay());
     Peers.Unit.Query query = endpoint.query();
-    signal("KILL");
+    relay.signal("KILL");
     String last = client.answer();
     assertTrue(last.equals("closed") || last.equals("reset"), last);
     Peers.await(query.on().closed, "the end of the unit's connection");
--- a/src/test/java/sprucerock/relay/platform/ServeMemoryTest.java
+++ b/src/test/java/sprucerock/relay/platform/ServeMemoryTest.java
@@ -26,7 +26,7 @@
 public class ServeMemoryTest {
   private static final String CONFIG =
       """
-        {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c","limits":{"sockets":1024},"release_api":{"address":"%s","news":{}},
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c","limits":{"sockets":1024},"release_api":{"address":"%s","news":{}},
          "known":{"version":4,"full":true,"servers":[%s]},
          "settings":{"balancers":1,"index":0,"my_zone":0,"tick":5,"zones":["a"],"kinds":["m"],"membership_mode":"push",
           "classes":[{"name":"pay","effect":"non_idempotent","on_time":20000,"hard_limit":20000,"worth":1}],
@@ -49,7 +49,7 @@
   private Peers peers;
   private Peers.Unit endpoint;
   private Path file;
-  private Process relay;
+  private ServeProcess relay;
   private int port;
   private int ids;
 
@@ -58,32 +58,19 @@
     peers = new Peers();
     endpoint = peers.new Unit();
     Peers.Agent discovery = peers.new Agent();
-    port = Peers.freePort();
     file = Files.createTempFile("serve", ".json");
     Files.writeString(
         file,
         CONFIG.formatted(
-            port,
-            discovery.address(),
-            peers.new Agent().address(),
-            endpoint.entry("s-1", "SERVING", 7)));
-    List<String> command = new ArrayList<>();
-    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx24m", "-Xss512k"));
-    command.addAll(
-        List.of("-cp", System.getProperty("java.class.path"), "sprucerock.Main", "serve"));
-    ProcessBuilder builder =
-        new ProcessBuilder(command)
-            .redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.DISCARD);
-    builder.environment().put("LB_CONFIG", file.toString());
-    relay = builder.start();
+            discovery.address(), peers.new Agent().address(), endpoint.entry("s-1", "SERVING", 7)));
+    relay = ServeProcess.start(file, "-Xmx24m", "-Xss512k");
     discovery.call().begins().list(4, false);
+    port = relay.awaitStarted();
   }
 
   @AfterMethod
   public void end() throws Exception {
-    relay.destroyForcibly();
+    relay.kill();
     peers.close();
     Files.delete(file);
   }
@@ -134,17 +121,6 @@
     thread.start();
   }
 
-  /** Connects so early that the relay may not listen yet. */
-  private Peers.Client client() throws Exception {
-    for (long until = System.nanoTime() + Peers.LONG * 1_000_000_000L; ; Thread.sleep(10)) {
-      try {
-        return peers.new Client(port);
-      } catch (IOException e) {
-        assertTrue(System.nanoTime() < until, "it never listens");
-      }
-    }
-  }
-
   /** Each client's bytes on a connection of its own, all at once; how each of them ended. */
   private List<String> sendAll(List<byte[]> all) throws Exception {
     BlockingQueue<String> ends = new LinkedBlockingQueue<>();
@@ -153,7 +129,7 @@
           new Thread(
               () -> {
                 try {
-                  Peers.Client client = client();
+                  Peers.Client client = peers.new Client(port);
                   client.welcomed();
                   try {
                     client.sends(bytes);
@@ -178,7 +154,7 @@
   }
 
   private void assertServesOn() throws Exception {
-    Peers.Client usual = client();
+    Peers.Client usual = peers.new Client(port);
     usual.sends(insert(2));
     assertEquals(usual.welcomed().answer().substring(0, 7), "value v");
     assertTrue(relay.isAlive());
--- a/src/test/java/sprucerock/relay/platform/ServeShutdownTest.java
+++ b/src/test/java/sprucerock/relay/platform/ServeShutdownTest.java
@@ -3,9 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -13,9 +11,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -28,7 +23,7 @@
 public class ServeShutdownTest {
   private static final String CONFIG =
       """
-        {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c","limits":{"sockets":256},"release_api":{"address":"%s","news":{}},
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c","limits":{"sockets":256},"release_api":{"address":"%s","news":{}},
          "known":{"version":4,"full":true,"servers":[%s]},
          "settings":{"balancers":1,"index":0,"my_zone":0,"tick":5,"zones":["a"],"kinds":["m"],"membership_mode":"push",
           "classes":[{"name":"look","effect":"read_like","on_time":20000,"hard_limit":20000,"worth":1},
@@ -42,8 +37,7 @@
   private Peers.Unit endpoint;
   private Peers.Agent discovery;
   private Path file;
-  private Process relay;
-  private BlockingQueue<String> log;
+  private ServeProcess relay;
   private int port;
   private int ids;
 
@@ -52,60 +46,28 @@
     peers = new Peers();
     endpoint = peers.new Unit();
     discovery = peers.new Agent();
-    port = Peers.freePort();
     file = Files.createTempFile("serve", ".json");
     Files.writeString(
         file,
         CONFIG.formatted(
-            port,
-            discovery.address(),
-            peers.new Agent().address(),
-            endpoint.entry("s-1", "SERVING", 7)));
-    ProcessBuilder builder =
-        new ProcessBuilder(
-                List.of(
-                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:+UseSerialGC",
-                    "-XX:TieredStopAtLevel=1",
-                    "-cp",
-                    System.getProperty("java.class.path"),
-                    "sprucerock.Main",
-                    "serve"))
-            .redirectErrorStream(true);
-    builder.environment().put("LB_CONFIG", file.toString());
-    relay = builder.start();
-    log = new LinkedBlockingQueue<>();
-    BufferedReader said =
-        new BufferedReader(new InputStreamReader(relay.getInputStream(), StandardCharsets.UTF_8));
-    Thread reader = new Thread(() -> said.lines().forEach(log::add), "log");
-    reader.setDaemon(true);
-    reader.start();
+            discovery.address(), peers.new Agent().address(), endpoint.entry("s-1", "SERVING", 7)));
+    relay = ServeProcess.start(file);
   }
 
   @AfterMethod
   public void end() throws Exception {
-    relay.destroyForcibly();
+    relay.kill();
     peers.close();
     Files.delete(file);
   }
 
-  private void says(String what) throws InterruptedException {
-    while (!Peers.next(log, "in the log: " + what).contains(what)) {}
-  }
-
   private void ready() throws Exception {
     discovery.call().begins().list(4, false);
-    says("STARTED");
-  }
-
-  private void signal(String name) throws IOException, InterruptedException {
-    assertEquals(
-        new ProcessBuilder("sh", "-c", "kill -" + name + " " + relay.pid()).start().waitFor(), 0);
+    port = relay.awaitStarted();
   }
 
   private void ended() throws InterruptedException {
-    assertTrue(relay.waitFor(Peers.LONG, TimeUnit.SECONDS), "it does not end");
-    assertEquals(relay.exitValue(), 0);
+    assertEquals(relay.awaitExit(), 0);
   }
 
   private String look() {
@@ -141,18 +103,16 @@
   @Test
   public void toldToEndBeforeItHasAList() throws Exception {
     discovery.call(); // asked, and told nothing: it is not ready
-    signal("TERM");
-    assertTrue(relay.waitFor(Peers.LONG, TimeUnit.SECONDS), "it does not end");
-    assertTrue(
-        relay.exitValue() == 0 || relay.exitValue() == 143, "exit code " + relay.exitValue());
+    relay.signal("TERM");
+    int code = relay.awaitExit();
+    assertTrue(code == 0 || code == 143, "exit code " + code);
   }
 
   @Test
   public void toldToEndAsItStarts() throws Exception {
-    signal("TERM");
-    assertTrue(relay.waitFor(Peers.LONG, TimeUnit.SECONDS), "it does not end");
-    assertTrue(
-        relay.exitValue() == 0 || relay.exitValue() == 143, "exit code " + relay.exitValue());
+    relay.signal("TERM");
+    int code = relay.awaitExit();
+    assertTrue(code == 0 || code == 143, "exit code " + code);
   }
 
   /** Twice, with a new configuration half written between the two signals. */
@@ -176,12 +136,12 @@
     greeting.getOutputStream().write(Arrays.copyOf(MessageWriter.startupMessage("svc", "main"), 7));
     Peers.read(half.socket);
     Peers.read(greeting);
-    signal("TERM");
-    says("FINISHING");
+    relay.signal("TERM");
+    relay.awaitLog("FINISHING");
     Files.writeString(file, "{\"name\":\"n0\",\"lis");
-    signal("HUP");
-    signal("TERM");
-    says("SETTINGS");
+    relay.signal("HUP");
+    relay.signal("TERM");
+    relay.awaitLog("SETTINGS");
     held.on().says(Peers.value("held"));
     unitAnswers();
     half.sends(Arrays.copyOfRange(query, query.length / 2, query.length));
@@ -203,7 +163,7 @@
     assertEquals(half.answer(), "closed");
     while (greeting.getInputStream().read()
         >= 0) {} // an error first where its time was over before
-    says("FINISHED every RPC taken has its answer");
+    relay.awaitLog("FINISHED every RPC taken has its answer");
     ended();
   }
 
@@ -213,7 +173,7 @@
     Peers.Client one = peers.new Client(port).welcomed();
     one.asks(pay(), pay());
     endpoint.query();
-    signal("TERM");
+    relay.signal("TERM");
     assertEquals(one.answer(), "error 58000");
     assertEquals(one.answer(), "error 57P03");
     assertEquals(one.answer(), "closed");
