--- a/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.Collections;
 import sprucerock.relay.engine.RequestOutcome;
 import sprucerock.time.TimeSpan;
 import sprucerock.time.Timestamp;
@@ -16,8 +17,11 @@
 
 /**
  * A client's connection: one command at a time, answered in order; a bounded number wait behind it.
- * What it holds of commands and open requests counts against the budget of all clients. Without
- * room there, it is not read for a while, and then ended as refused.
+ *
+ * <p>What it holds of commands and open requests counts against the budget of all clients. A
+ * command that finds no room there is not read for a while. Then it is read without being kept, and
+ * answered as refused in its turn. Only a client that stays in the middle of such a command, or has
+ * too many commands waiting, is ended, once all that was read before has its answer.
  */
 final class PlatformClientConnection
     implements ConnectionListener, MessageFramer.Listener, BufferBudget.Holder {
@@ -27,8 +31,6 @@
   /** Clients that send one command behind another stay far below it. */
   private static final int MAX_WAITING_COMMANDS = 32;
 
-  private static final int MAX_WAITING_BYTES = 256 * 1024;
-
   /** Well below half of the shortest deadlines: a refusal that comes later is worth less. */
   private static final TimeSpan MAX_MEMORY_WAIT = TimeSpan.ofMs(250);
 
@@ -40,7 +42,21 @@
   private static final byte[] WELCOME = MessageWriter.sessionStart();
   private static final byte[] NO_ENCRYPTION = {'N'};
 
-  private record Command(char type, byte[] body) {}
+  /** A command that waits; one without a body was not kept, and is answered as refused. */
+  private record Command(char type, byte[] body) {
+    static final Command REFUSED = new Command('Q', null);
+
+    boolean isRefused() {
+      return body == null;
+    }
+
+    int size() {
+      return body == null ? 0 : body.length;
+    }
+  }
+
+  /** Why the connection is ended once what it is owed is answered. */
+  private record Refusal(String sqlState, String reason) {}
 
   private enum State {
     OPEN,
@@ -56,7 +72,6 @@
   private final MessageFramer framer;
   private final ArrayDeque<Command> waiting = new ArrayDeque<>();
   private final Timestamp acceptedAt;
-  private int waitingBytes;
   private Connection connection;
   private boolean started;
   private boolean hasAsked;
@@ -73,8 +88,8 @@
   /** Ends the wait for memory; null while it does not wait. */
   private Timer memoryTimer;
 
-  /** Why it is ended as refused once what it is owed is answered; null: it is not. */
-  private String refusal;
+  /** Null unless it is to be ended. */
+  private Refusal refusal;
 
   private long unsentBefore;
   private Timestamp unsentSince;
@@ -98,6 +113,10 @@
 
   @Override
   public boolean wantsMore() {
+    return isOpen() && refusal == null;
+  }
+
+  private boolean isOpen() {
     return state == State.OPEN;
   }
 
@@ -108,7 +127,7 @@
       state = State.OPEN;
     }
     lastReceivedAt = owner.now();
-    if (!wantsMore() || refusal != null) {
+    if (!wantsMore()) {
       return;
     }
     try {
@@ -134,21 +153,38 @@
 
   @Override
   public void onMessage(char type, byte[] body) throws ProtocolException {
+    partialSince = null;
     if (type == 0) {
       account.release(body.length);
       startup(body);
       return;
     }
-    waitingBytes += body.length;
-    waiting.add(new Command(type, body));
-    if (waiting.size() > MAX_WAITING_COMMANDS || waitingBytes > MAX_WAITING_BYTES) {
-      throw new ProtocolException(
-          "more than "
-              + MAX_WAITING_COMMANDS
-              + " commands or "
-              + MAX_WAITING_BYTES
-              + " bytes wait on one connection");
+    enqueue(new Command(type, body));
+  }
+
+  @Override
+  public void messageSkipped() {
+    partialSince = null;
+    enqueue(Command.REFUSED);
+  }
+
+  /** One too many ends the connection: those that wait are answered as refused before that. */
+  private void enqueue(Command command) {
+    if (waiting.size() < MAX_WAITING_COMMANDS) {
+      waiting.add(command);
+      return;
     }
+    account.release(command.size());
+    refuseWaitingCommands();
+    refusal =
+        new Refusal(
+            "08P01", "more than " + MAX_WAITING_COMMANDS + " commands wait on one connection");
+  }
+
+  private void refuseWaitingCommands() {
+    int count = waiting.size();
+    releaseWaitingCommands();
+    waiting.addAll(Collections.nCopies(count, Command.REFUSED));
   }
 
   private void startup(byte[] body) throws ProtocolException {
@@ -173,7 +209,8 @@
     }
     connection.pauseReading();
     if (memoryTimer == null) {
-      memoryTimer = owner.afterSilence(MAX_MEMORY_WAIT, () -> refuse("no memory for its command"));
+      memoryTimer =
+          owner.afterSilence(MAX_MEMORY_WAIT, () -> skipMessage("no memory for its command"));
     }
   }
 
@@ -196,40 +233,71 @@
 
   @Override
   public void evict() {
-    refuse("its command stays incomplete and others wait for memory");
+    skipMessage("its command stays incomplete and others wait for memory");
   }
 
-  /**
-   * Ends it as refused, as its last command was not taken: once what was taken before has its
-   * answer, which the error would be mistaken for.
-   */
-  private void refuse(String why) {
-    if (!wantsMore() || refusal != null) {
+  /** Reads the command that has begun without keeping it: it is answered as refused in its turn. */
+  private void skipMessage(String why) {
+    if (!wantsMore()) {
       return;
     }
-    refusal = why + "; trying again is harmless";
-    releasePartialMessage();
-    connection.resumeReading(); // what comes is dropped
+    releasePartialMemory();
+    framer.skip();
+    partialSince = owner.now();
+    connection.resumeReading();
+    String reason = why + "; trying again is harmless";
+    if (started) {
+      refuseOnceSilent(reason);
+    } else {
+      refuse(reason); // before the welcome no answer to a command has a meaning
+    }
+  }
+
+  private void refuse(String reason) {
+    refusal = new Refusal("53300", reason);
     endIfRefused();
   }
 
+  /** Guards against a client that stays in the middle of a command that was refused. */
+  private void refuseOnceSilent(String reason) {
+    Timestamp since = owner.now();
+    owner.afterSilence(
+        LINGER,
+        () -> {
+          if (!wantsMore() || !framer.isSkipping()) {
+            return;
+          }
+          if (lastReceivedAt.after(since)) {
+            refuseOnceSilent(reason);
+            return;
+          }
+          refuse(reason);
+        });
+  }
+
+  /** Once what was taken before has its answer, which the error would be mistaken for. */
   private void endIfRefused() {
-    if (refusal != null && wantsMore() && open == null && waiting.isEmpty()) {
-      end("53300", refusal);
+    if (refusal != null && isOpen() && open == null && waiting.isEmpty()) {
+      end(refusal.sqlState, refusal.reason);
     }
   }
 
-  private void releasePartialMessage() {
+  private void releasePartialMemory() {
     cancelMemoryTimer();
     account.stopWaiting();
     account.release(framer.admittedBytes());
+  }
+
+  private void discardPartialMessage() {
+    releasePartialMemory();
     framer.discard();
     partialSince = null;
   }
 
   private void releaseWaitingCommands() {
-    account.release(waitingBytes);
-    waitingBytes = 0;
+    for (Command command : waiting) {
+      account.release(command.size());
+    }
     waiting.clear();
   }
 
@@ -237,24 +305,33 @@
 
   /** Takes up what waits, unless a command is being answered. */
   private void processWaiting() throws ProtocolException {
-    while (wantsMore() && open == null && !waiting.isEmpty()) {
-      Command next = waiting.poll();
-      waitingBytes -= next.body.length;
-      if (next.type == 'Q') {
-        query(next.body);
-        continue;
-      }
-      account.release(next.body.length);
-      if (next.type == 'X') {
-        end(null, "client said goodbye");
-      } else {
-        throw new ProtocolException(
-            "only simple queries are served here, not a message of type " + next.type);
-      }
+    while (isOpen() && open == null && !waiting.isEmpty()) {
+      process(waiting.poll());
     }
     endIfRefused();
   }
 
+  private void process(Command command) throws ProtocolException {
+    if (command.isRefused()) {
+      hasAsked = true;
+      owner.logRefusal("no room for its command");
+      answered(
+          MessageWriter.errorResponse(
+              "ERROR", "53300", "no room for the command; trying again is harmless", null));
+      return;
+    }
+    if (command.type == 'Q') {
+      query(command.body);
+      return;
+    }
+    account.release(command.size());
+    if (command.type != 'X') {
+      throw new ProtocolException(
+          "only simple queries are served here, not a message of type " + command.type);
+    }
+    end(null, "client said goodbye");
+  }
+
   /** Takes a query; its bytes are released with the request, or here if none is made of it. */
   private void query(byte[] body) throws ProtocolException {
     int length;
@@ -326,7 +403,7 @@
   /** The one final answer; none goes to a client that left. */
   void answer(PlatformRequest request, RequestOutcome outcome, TimeSpan wait, byte[] body) {
     request.complete();
-    if (!wantsMore() || open != request) {
+    if (!isOpen() || open != request) {
       return;
     }
     open = null;
@@ -371,7 +448,7 @@
    * Says why, unless {@code code} is null, and closes; an RPC that is open has that as its answer.
    */
   private void end(String code, String why) {
-    if (state != State.OPEN) {
+    if (!isOpen()) {
       return;
     }
     if (code != null) {
@@ -379,7 +456,7 @@
       connection.append(MessageWriter.errorResponse("FATAL", code, why, null));
     }
     state = State.ENDING;
-    releasePartialMessage();
+    discardPartialMessage();
     releaseWaitingCommands();
     abandonOpenRequest();
     if (refusal != null) {
@@ -425,7 +502,7 @@
   @Override
   public void closed(String why) {
     state = State.CLOSED;
-    releasePartialMessage();
+    discardPartialMessage();
     releaseWaitingCommands();
     abandonOpenRequest();
     owner.closed(this);
@@ -437,7 +514,6 @@
         && open == null
         && !framer.isPartial()
         && waiting.isEmpty()
-        && refusal == null
         && !time.over(owner.now().since(quietSince));
   }
 
--- a/src/main/java/sprucerock/transport/net/BufferBudget.java
+++ b/src/main/java/sprucerock/transport/net/BufferBudget.java
@@ -16,12 +16,21 @@
  * order in which they began to wait. While any waits, a holder that stays in the middle of a
  * message without receiving anything is evicted.
  *
+ * <p>An account that holds much already may draw only a share of what is free, and waits beside the
+ * others where it asks for more: one connection never takes the room of all.
+ *
  * <p>Confined to the loop thread.
  */
 public final class BufferBudget {
   /** Bytes of an account that are not drawn from the shared ones. */
   public static final int FREE_BYTES = 1024;
 
+  /** What an account may draw however little is free: one large message and another behind it. */
+  public static final int MIN_ACCOUNT_BYTES = 256 * 1024;
+
+  /** Above that an account may draw up to the free bytes divided by this. */
+  private static final int FREE_BYTES_DIVISOR = 4;
+
   private static final TimeSpan CHECK_INTERVAL = TimeSpan.ofMs(50);
 
   /** Who holds the bytes of an account. */
@@ -41,6 +50,10 @@
   private final TimeSpan stallLimit;
   private final ArrayDeque<Account> waiting = new ArrayDeque<>();
   private final Set<Account> drawing = new LinkedHashSet<>();
+
+  /** Those that wait until their own share allows more. */
+  private final Set<Account> beyondShare = new LinkedHashSet<>();
+
   private boolean wakeScheduled;
   private boolean checkScheduled;
 
@@ -62,7 +75,7 @@
     return new Account(holder);
   }
 
-  /** Whether an account waits for room. */
+  /** Whether an account waits for room that others hold. */
   public boolean hasWaiting() {
     return !waiting.isEmpty();
   }
@@ -84,6 +97,12 @@
      */
     public boolean tryHold(int bytes) {
       long draws = drawnOf(heldBytes + bytes) - drawnOf(heldBytes);
+      if (draws > 0 && !isWithinShare(bytes)) {
+        stopWaiting();
+        beyondShare.add(this);
+        scheduleCheck();
+        return false;
+      }
       boolean isNext = waiting.isEmpty() || waiting.peek() == this;
       if (draws > 0 && !(isNext && shared.tryHold(draws))) {
         await(draws);
@@ -112,10 +131,26 @@
       shared.release(before - drawnOf(heldBytes));
       noteDrawing();
       wakeNext();
+      if (bytes > 0 && beyondShare.contains(this)) {
+        timers.atTurnsEnd(this::wakeBeyondShare);
+      }
+    }
+
+    /** Has it ask again if it still waits for its own share: the answer may be the same. */
+    private void wakeBeyondShare() {
+      if (beyondShare.contains(this)) {
+        holder.roomAvailable();
+      }
+    }
+
+    private boolean isWithinShare(int bytes) {
+      long share = Math.max(MIN_ACCOUNT_BYTES, shared.freeBytes() / FREE_BYTES_DIVISOR);
+      return heldBytes == 0 || drawnOf(heldBytes + bytes) <= share;
     }
 
     /** Waits for no room any more. */
     public void stopWaiting() {
+      beyondShare.remove(this);
       if (awaitedBytes == 0) {
         return;
       }
@@ -172,12 +207,16 @@
   /** While an account waits: wakes it if room came without a release, and evicts who stalls. */
   private void check() {
     checkScheduled = false;
-    if (waiting.isEmpty()) {
-      return;
+    if (!waiting.isEmpty()) {
+      evictStalled();
+      wakeNext();
+    }
+    for (Account account : List.copyOf(beyondShare)) {
+      account.wakeBeyondShare();
+    }
+    if (!waiting.isEmpty() || !beyondShare.isEmpty()) {
+      scheduleCheck();
     }
-    evictStalled();
-    wakeNext();
-    scheduleCheck();
   }
 
   /** By what was heard: bytes that came while the loop stood still may not be read yet. */
--- a/src/main/java/sprucerock/transport/net/MemoryLimit.java
+++ b/src/main/java/sprucerock/transport/net/MemoryLimit.java
@@ -35,7 +35,12 @@
 
   /** Whether so many bytes more may be held. */
   public boolean hasRoomFor(long bytes) {
-    return bytes <= maxBytes - heldElsewhere.getAsLong() - heldBytes;
+    return bytes <= freeBytes();
+  }
+
+  /** How many bytes more may be held; below 0 when more are held than the limit. */
+  public long freeBytes() {
+    return maxBytes - heldElsewhere.getAsLong() - heldBytes;
   }
 
   /** Holds bytes, if there is room. */
--- a/src/main/java/sprucerock/transport/postgres/MessageFramer.java
+++ b/src/main/java/sprucerock/transport/postgres/MessageFramer.java
@@ -25,6 +25,9 @@
 
     /** Whether further messages are wanted; false stops {@link #feed} before the next one. */
     boolean wantsMore();
+
+    /** The message that {@link #skip} was called for has ended. */
+    default void messageSkipped() {}
   }
 
   /** Decides whether there is memory for a message. */
@@ -59,6 +62,9 @@
   private int bodyBytes;
   private int bodyFilled;
 
+  /** What comes of the message that has begun is dropped. */
+  private boolean skipping;
+
   private MessageFramer(
       String knownTypes, int maxBodyBytes, boolean expectsStartup, Admission admission) {
     this.knownTypes = knownTypes;
@@ -108,7 +114,7 @@
 
   /** Whether the next message waits for its admission. */
   public boolean isBlocked() {
-    return body == null && headerFilled == headerBytes();
+    return body == null && !skipping && headerFilled == headerBytes();
   }
 
   /** The bytes that were admitted for the message that is incomplete. */
@@ -116,9 +122,24 @@
     return body == null ? 0 : bodyBytes;
   }
 
+  /** Whether a message is being dropped as it comes. */
+  public boolean isSkipping() {
+    return skipping;
+  }
+
+  /**
+   * Drops the message that has begun, whose header is complete, and what comes of it: nothing of it
+   * is kept, and {@link Listener#messageSkipped} tells its end.
+   */
+  public void skip() {
+    body = null;
+    skipping = true;
+  }
+
   /** Drops an incomplete message; the framer must not be fed after that. */
   public void discard() {
     body = null;
+    skipping = false;
     headerFilled = 0;
   }
 
@@ -133,6 +154,13 @@
    */
   public void feed(ByteBuffer in, Listener listener) throws ProtocolException {
     while (listener.wantsMore()) {
+      if (skipping) {
+        if (!skipBody(in)) {
+          return;
+        }
+        listener.messageSkipped();
+        continue;
+      }
       if (body == null && !(readHeader(in) && beginBody(in))) {
         return;
       }
@@ -169,11 +197,24 @@
 
   private boolean beginBody(ByteBuffer in) throws ProtocolException {
     bodyBytes = checkedLength(headerBytes() - LENGTH_BYTES) - LENGTH_BYTES;
+    bodyFilled = 0;
     if (!admission.admit(bodyBytes)) {
       return false;
     }
     body = new byte[Math.min(bodyBytes, Math.max(in.remaining(), INITIAL_BUFFER_BYTES))];
-    bodyFilled = 0;
+    return true;
+  }
+
+  /** True once the message that is dropped has ended. */
+  private boolean skipBody(ByteBuffer in) {
+    int count = Math.min(bodyBytes - bodyFilled, in.remaining());
+    in.position(in.position() + count);
+    bodyFilled += count;
+    if (bodyFilled < bodyBytes) {
+      return false;
+    }
+    skipping = false;
+    headerFilled = 0;
     return true;
   }
 
--- a/src/test/java/sprucerock/transport/net/BufferBudgetTest.java
+++ b/src/test/java/sprucerock/transport/net/BufferBudgetTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import sprucerock.time.TimeSpan;
@@ -153,6 +154,27 @@
     assertEquals(events, List.of());
   }
 
+  /** Guards against one account whose messages take the room of all others. */
+  @Test
+  public void anAccountThatHoldsMuchDrawsOnlyAShareOfWhatIsFree() {
+    int message = 128 * 1024;
+    limit = new MemoryLimit(40L * message, () -> 0);
+    budget = new BufferBudget(net, limit, TimeSpan.ofMs(100));
+    Holder greedy = new Holder("greedy");
+    int held = 0;
+    while (greedy.asks(message)) {
+      held++;
+    }
+    assertEquals(held, 8); // a quarter of the 32 that are left
+    assertFalse(budget.hasWaiting());
+    assertTrue(new Holder("other").asks(message));
+    net.pass(100);
+    assertEquals(Set.copyOf(events), Set.of("greedy waits"));
+    events.clear();
+    net.turn(() -> greedy.account.release(message));
+    assertEquals(events, List.of("greedy holds"));
+  }
+
   /** Guards against room that comes without a release here, and wakes nobody. */
   @Test
   public void roomThatComesFromElsewhereIsNoticed() {
