--- a/src/main/java/sprucerock/relay/platform/PlatformEndpointConnection.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformEndpointConnection.java
@@ -23,12 +23,15 @@
     implements ConnectionListener, MessageFramer.Listener, BufferBudget.Holder {
   /**
    * SETTLING: answered and ready again, but what came behind the answer by now may still be on its
-   * way.
+   * way. FENCED, FENCE_ANSWERED: the response to the empty query in front of a statement is
+   * awaited, then its readiness.
    */
   private enum At {
     STARTING,
     SETTLING,
     IDLE,
+    FENCED,
+    FENCE_ANSWERED,
     ASKED,
     COLUMN,
     ROW,
@@ -44,6 +47,8 @@
   // what came behind an answer by then shows that the connection is spoilt
   private static final long NOT_WRITTEN = Long.MAX_VALUE;
   private static final byte[] STARTUP = MessageWriter.startupMessage("svc", "main");
+  private static final byte[] EMPTY_QUERY = MessageWriter.query(new byte[0]);
+  private static final byte[] NOTHING = {};
 
   private final PlatformConnectionPool door;
   private final BufferBudget.Account account;
@@ -59,6 +64,9 @@
   private boolean closed;
   private boolean becameReady;
 
+  /** A statement was answered on it: a second copy of that answer may come at any time. */
+  private boolean hasAnswered;
+
   /** What is to be done unless it comes out of the state that it is in, or null. */
   private Timer leaves;
 
@@ -120,7 +128,7 @@
     }
     Timestamp clock = door.clock();
     if (next.mayStart(clock) && next.deadline().after(clock)) {
-      next.statement().writeQuery(connection, next.deadline().since(clock).ms());
+      writeStatement(next, next.deadline().since(clock).ms());
       mark = connection.bytesWritten();
       door.written(next);
       return;
@@ -132,6 +140,16 @@
     door.idle(this);
   }
 
+  /**
+   * On a connection that was used before, an empty query goes in front, in the same write. Guards
+   * against a second copy of the answer before, however late it comes: it is read where the empty
+   * query's response belongs, and never as the answer to this statement.
+   */
+  private void writeStatement(PgExchange next, double waitMs) {
+    at = hasAnswered ? At.FENCED : At.ASKED;
+    next.statement().writeQuery(connection, hasAnswered ? EMPTY_QUERY : NOTHING, waitMs);
+  }
+
   @Override
   public boolean wantsMore() {
     return !closed;
@@ -235,12 +253,18 @@
   private void take(char type, byte[] body) throws ProtocolException {
     switch (at) {
       case STARTING -> starting(type, body);
+      case FENCED -> {
+        requireSent();
+        expect(type, 'I');
+        at = At.FENCE_ANSWERED;
+      }
+      case FENCE_ANSWERED -> {
+        expect(type, 'Z');
+        MessageReader.requireReadyForQuery(body);
+        at = At.ASKED;
+      }
       case ASKED -> {
-        // guards against a second copy of the answer before, which comes in the turn in which the
-        // connection was chosen
-        if (unsent()) {
-          throw new ProtocolException("something that was not asked for");
-        }
+        requireSent();
         if (type == 'T') {
           MessageReader.requireSingleColumn(body);
           column = body;
@@ -275,12 +299,23 @@
         }
         leaves = null;
         at = At.SETTLING;
+        hasAnswered = true;
         becameReady = true;
       }
       default -> throw new ProtocolException("something that was not asked for");
     }
   }
 
+  /**
+   * Guards against a second copy of the answer before, which comes in the turn in which the
+   * connection was chosen.
+   */
+  private void requireSent() throws ProtocolException {
+    if (unsent()) {
+      throw new ProtocolException("something that was not asked for");
+    }
+  }
+
   private static void expect(char type, char wanted) throws ProtocolException {
     if (type != wanted) {
       throw new ProtocolException("a message of type " + type + " where " + wanted + " belongs");
--- a/src/main/java/sprucerock/relay/platform/Statement.java
+++ b/src/main/java/sprucerock/relay/platform/Statement.java
@@ -156,12 +156,17 @@
     return Long.toString(Math.max(1, (long) ms)).getBytes(StandardCharsets.US_ASCII);
   }
 
-  /** Writes it as a query, for a unit that is waited for so long. A large value is not copied. */
-  void writeQuery(Connection connection, double ms) {
+  /**
+   * Writes it as a query, for a unit that is waited for so long. A large value is not copied.
+   *
+   * @param before messages that go in front of it
+   */
+  void writeQuery(Connection connection, byte[] before, double ms) {
     if (length <= MAX_COPIED_BYTES) {
-      connection.append(MessageWriter.query(within(ms)));
+      connection.append(MessageWriter.concat(before, MessageWriter.query(within(ms))));
       return;
     }
+    connection.append(before);
     byte[] wait = waitDigits(ms);
     int restBytes = length - to;
     byte[] rest =
--- a/src/main/java/sprucerock/relay/platform/WarmUp.java
+++ b/src/main/java/sprucerock/relay/platform/WarmUp.java
@@ -228,6 +228,9 @@
       if (type == 0) {
         started();
         connection.append(MessageWriter.sessionStart());
+      } else if (type == 'Q' && MessageReader.parseQuery(body).length == 0) {
+        connection.append(MessageWriter.emptyQueryResponse());
+        connection.append(MessageWriter.readyForQuery());
       } else if (type == 'Q' && MessageReader.parseQuery(body).length % 17 == 3) {
         connection.append(
             MessageWriter.concat(
--- a/src/test/java/sprucerock/relay/platform/Peers.java
+++ b/src/test/java/sprucerock/relay/platform/Peers.java
@@ -306,6 +306,10 @@
               continue;
             }
             String text = new String(body, 0, body.length - 1, StandardCharsets.US_ASCII);
+            if (text.isEmpty()) {
+              says(MessageWriter.emptyQueryResponse(), MessageWriter.readyForQuery());
+              continue;
+            }
             seen.add(text);
             asked.add(new Query(this, text));
           }
--- a/src/test/java/sprucerock/relay/platform/PlatformTest.java
+++ b/src/test/java/sprucerock/relay/platform/PlatformTest.java
@@ -57,6 +57,9 @@
     Connection connection;
     String query;
 
+    /** Sent as the next query comes, in front of its answer: a second copy that crosses it. */
+    byte[] lateCopy = {};
+
     @Override
     public void connected(Connection made) {
       connection = made;
@@ -82,9 +85,20 @@
         in.startupComplete();
         connection.append(MessageWriter.sessionStart());
       } else if (type == 'Q') {
-        query = new String(MessageReader.parseQuery(body), StandardCharsets.US_ASCII);
-        asked.add(this);
+        connection.append(lateCopy);
+        lateCopy = new byte[0];
+        queried(new String(MessageReader.parseQuery(body), StandardCharsets.US_ASCII));
+      }
+    }
+
+    private void queried(String text) {
+      if (text.isEmpty()) {
+        connection.append(MessageWriter.emptyQueryResponse());
+        connection.append(MessageWriter.readyForQuery());
+        return;
       }
+      query = text;
+      asked.add(this);
     }
 
     void says(byte[]... messages) {
@@ -573,6 +587,89 @@
     assertEquals(client.got, served("two"));
   }
 
+  /** Has only one unit serve, which has answered once on a connection that is idle now. */
+  private FakeUnit onlyUnit(Client client, byte[]... answer) {
+    discovery
+        .get(0)
+        .chunk(
+            "{\"version\":5,\"full\":false,\"servers\":["
+                + entry("s-1", 300, "DRAINING", 7)
+                + "]}\n");
+    client.asks(look(900));
+    FakeUnit unit = last();
+    unit.says(answer);
+    net.pass(20);
+    client.got.clear();
+    return unit;
+  }
+
+  /** Guards against a second copy that comes some milliseconds late: review/2. */
+  @Test
+  public void aSecondCopyThatCrossesTheNextStatementIsNotItsAnswer() {
+    Client client = new Client().started();
+    FakeUnit unit = onlyUnit(client, value("one"));
+    unit.lateCopy = MessageWriter.concat(value("one"));
+    client.asks(pay(900));
+    assertTrue(last() == unit); // it has the statement, which may have run
+    assertEquals(client.got, List.of("error 58000", "Z"));
+    assertEquals(closed, 1);
+  }
+
+  /** Guards against a copy that says of another statement that it never ran. */
+  @Test
+  public void aSecondRefusalThatCrossesTheNextStatementSaysNothingOfIt() {
+    byte[] full =
+        MessageWriter.concat(
+            MessageWriter.errorResponse("ERROR", "53300", "full", null),
+            MessageWriter.readyForQuery());
+    Client client = new Client().started();
+    FakeUnit unit = onlyUnit(client, value("one"));
+    unit.lateCopy = full;
+    client.asks(pay(900));
+    assertTrue(last() == unit);
+    assertEquals(client.got, List.of("error 58000", "Z"));
+  }
+
+  /** What may run twice is asked again elsewhere. */
+  @Test
+  public void aSecondCopyThatCrossesARepeatableStatementCostsAnAttempt() {
+    Client client = new Client().started();
+    FakeUnit unit = onlyUnit(client, value("one"));
+    discovery
+        .get(0)
+        .chunk(
+            "{\"version\":6,\"full\":false,\"servers\":["
+                + entry("s-1", 300, "SERVING", 7)
+                + "]}\n");
+    unit.lateCopy = MessageWriter.concat(value("one"));
+    while (unit.lateCopy.length > 0) {
+      assertTrue(asked.size() < 100, "its connection is never used again");
+      client.got.clear();
+      client.asks(look(900));
+      if (unit.lateCopy.length > 0) {
+        last().says(value("other"));
+        net.pass(20);
+      }
+    }
+    assertFalse(last() == unit);
+    last().says(value("two"));
+    assertEquals(client.got, served("two"));
+  }
+
+  @Test
+  public void largeStatementsBehindOneAnotherComeWholeOnOneConnection() {
+    Client client = new Client().started();
+    FakeUnit unit = onlyUnit(client, value("one"));
+    for (int i = 0; i < 3; i++) {
+      client.asks(pay(900).replace("9f03", "9f03".repeat(5000)));
+      assertTrue(last() == unit);
+      assertTrue(unit.query.contains("9f03".repeat(5000) + "') RETURNING v /* id=" + ids));
+      unit.says(value("large"));
+      net.pass(20);
+    }
+    assertEquals(closed, 0);
+  }
+
   @Test
   public void aUnitThatIsFullWasNotRunSoEvenWhatMustNotRunTwiceGoesElsewhere() {
     Client client = new Client().started();
--- a/src/test/java/sprucerock/scale/AddedLatencyStudy.java
+++ b/src/test/java/sprucerock/scale/AddedLatencyStudy.java
@@ -68,6 +68,8 @@
   private static final byte[] COLUMN =
       ByteBuffer.allocate(22).putShort((short) 1).put((byte) 'v').array();
   private static final byte[] ROW = ByteBuffer.allocate(10).putShort((short) 1).putInt(4).array();
+  private static final byte[] EMPTY_QUERY_ANSWER =
+      MessageWriter.concat(MessageWriter.emptyQueryResponse(), MessageWriter.readyForQuery());
   private static final byte[] ANSWER =
       MessageWriter.concat(
           MessageWriter.message('T', COLUMN),
@@ -247,6 +249,10 @@
         return;
       }
       String text = new String(MessageReader.parseQuery(body), StandardCharsets.US_ASCII);
+      if (text.isEmpty()) {
+        write(EMPTY_QUERY_ANSWER);
+        return;
+      }
       int from = text.indexOf("id=") + 3;
       Asked asked = open.get(Integer.parseInt(text.substring(from, text.indexOf(',', from))));
       if (asked != null && asked.attempts++ == 0) {
