Keep the ids of abandoned attempts: a second result freed the place of another

Cause: EndpointConnection counted abandoned attempts, and any late result lowered the count, a second copy of one that was answered too. The endpoint then got more at a time than picks-each allows.

Change: the ids are kept in place of a count; a result of another id frees nothing.

Measured: secondResultOfAnAttemptDoesNotFreeThePlaceOfAnother failed before (5 attempts where 4 fit), and passes.

--- a/src/main/java/sprucerock/relay/frames/EndpointConnection.java
+++ b/src/main/java/sprucerock/relay/frames/EndpointConnection.java
@@ -2,8 +2,10 @@
 
 import com.google.protobuf.MessageLite;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import sprucerock.model.AttemptOutcome;
 import sprucerock.model.Endpoint;
 import sprucerock.model.Method;
@@ -35,7 +37,9 @@
 
   Timestamp lastUsed;
   private long lastId;
-  private int abandoned;
+
+  /** The ids of attempts that were given up, and whose results have not come. */
+  private final Set<Long> abandoned = new HashSet<>();
 
   EndpointConnection(EndpointConnectionPool connections, Timestamp now) {
     this.pool = connections;
@@ -48,7 +52,7 @@
 
   /** Attempts on it, with abandoned ones: the endpoint may still be working on those. */
   int load() {
-    return inFlight.size() + abandoned;
+    return inFlight.size() + abandoned.size();
   }
 
   boolean isIdle() {
@@ -96,7 +100,7 @@
   /** Stops waiting for an attempt. An endpoint that is notified may stop working on it. */
   void abandon(FrameExchange exchange, boolean notifyEndpoint) {
     inFlight.remove(exchange.wireId);
-    abandoned++;
+    abandoned.add(exchange.wireId);
     if (notifyEndpoint) {
       connection.send(FrameKind.STOP, Stop.newBuilder().setId(exchange.wireId).build(), NO_BODY);
     }
@@ -145,10 +149,8 @@
   private void resultReceived(Done done, AttemptOutcome outcome, byte[] body) {
     FrameExchange exchange = inFlight.remove(done.getId());
     if (exchange == null) {
-      // late, for an abandoned one; an id that never was must not free capacity
-      if (abandoned > 0 && done.getId() <= lastId) {
-        abandoned--;
-      }
+      // late, for an abandoned one; a second copy, or an id that never was, must not free capacity
+      abandoned.remove(done.getId());
       pool.lateResult(outcome);
       pool.capacityFreed(this);
       return;
--- a/src/test/java/sprucerock/relay/frames/FrameRelayTest.java
+++ b/src/test/java/sprucerock/relay/frames/FrameRelayTest.java
@@ -470,6 +470,26 @@
     assertEquals(policy.attempts.get(0).outcome().name(), "CANCELLED");
   }
 
+  /** Guards against a second copy of a result that frees the place of another attempt. */
+  @Test
+  public void secondResultOfAnAttemptDoesNotFreeThePlaceOfAnother() {
+    policy.waits = true;
+    for (int i = 1; i <= 6; i++) {
+      sendRequest(i);
+    }
+    RecordingPeer endpoint = endpoints.get(0);
+    Attempt abandoned = policy.attempts.get(endpoint.received.get(1).body()[0] - 1);
+    net.turn(() -> policy.actions.cancel(abandoned));
+    Done done = Done.newBuilder().setId(1).setResult(Result.DONE).build();
+    for (int copy = 0; copy < 2; copy++) {
+      net.turn(() -> endpoint.send(FrameKind.DONE, done, (byte) 99));
+      net.settle();
+    }
+    sendRequest(7);
+    sendRequest(8);
+    assertEquals(endpoint.<Work>heads(FrameKind.WORK).size(), 4);
+  }
+
   @Test
   public void unresponsiveEndpointDoesNotKeepItsConnectionFull() {
     policy.waits = true;
