Compare the sum of all windows of an updated relay, not its last window alone

Cause: since MatchedWindows.recordAfter used its parameter updated where the sum updatedSum was meant. The sum was never cleared, and after the first sample the measures of the updated relay came from its last window alone: rollouts were judged on the wrong windows.

Change: both sides are sums since the last sample, as before the update.

Measured: allWindowsOfASampleCount failed before (NO_WORSE where four of five windows lose three of ten RPCs).

--- a/src/main/java/sprucerock/controller/comparison/MatchedWindows.java
+++ b/src/main/java/sprucerock/controller/comparison/MatchedWindows.java
@@ -4,8 +4,8 @@
  * Matches the windows of an updated relay and of its control: two relays alike in zone, load and
  * age, of which the control is restarted at the same time but not updated. Windows with few RPCs
  * are summed until there are enough on both sides: a relay with two RPCs per window would look
- * perfect in most windows and terrible in a few. Before the update a sample consists of the sums of
- * both sides, which are thus sampled equally finely; after the update, see {@link #recordAfter}.
+ * perfect in most windows and terrible in a few. A sample consists of the sums of both sides, which
+ * are thus sampled equally finely.
  */
 public final class MatchedWindows {
   /**
@@ -31,7 +31,7 @@
   private Window controlSum = Window.NONE;
 
   /**
-   * The updated relay's window in the first sample after the update; null before the update, and
+   * The updated relay's sum in the first sample after the update; null before the update, and
    * {@link Window#NONE} until that sample.
    */
   private Window firstUpdated;
@@ -65,9 +65,8 @@
   }
 
   /**
-   * Records a window after the update. A sample compares the updated relay's latest window with the
-   * sum of the control's windows since the previous sample. The updated relay's sum, which only
-   * decides whether there are enough RPCs, is not reset between these samples.
+   * Records a window after the update. A sample compares the sums of both sides' windows since the
+   * previous sample.
    */
   public void recordAfter(Window updated, Window control) {
     if (firstUpdated == null) {
@@ -77,17 +76,17 @@
       return;
     }
     if (firstUpdated == Window.NONE) {
-      firstUpdated = updated;
+      firstUpdated = updatedSum;
       firstControl = controlSum;
     }
     for (Measure measure : Measure.values()) {
       double difference =
-          updated.value(measure, firstUpdated) - controlSum.value(measure, firstControl);
+          updatedSum.value(measure, firstUpdated) - controlSum.value(measure, firstControl);
       if (Double.isFinite(difference)) {
         comparison.record(measure, difference - usualDifference(measure), standardError(measure));
       }
     }
-    updated = Window.NONE;
+    updatedSum = Window.NONE;
     controlSum = Window.NONE;
   }
 
--- a/src/test/java/sprucerock/controller/comparison/ComparisonTest.java
+++ b/src/test/java/sprucerock/controller/comparison/ComparisonTest.java
@@ -98,6 +98,27 @@
         compare(5, 60, 0.02, 0.02, 90).explanation());
   }
 
+  /**
+   * Guards against a sample that leaves out windows of the updated relay: the window that completes
+   * a sample is always good here, and those before it are bad.
+   */
+  @Test
+  public void allWindowsOfASampleCount() {
+    Comparison comparison = new Comparison(0.02, 0.1);
+    MatchedWindows pair = comparison.newPair();
+    for (int w = 0; w < 1000; w++) {
+      boolean completesSample = w % 5 == 4;
+      pair.recordAfter(quietWindow(10, completesSample ? 0 : 3), quietWindow(5, 0));
+    }
+    assertEquals(comparison.result(0), Result.WORSE, comparison.explanation());
+  }
+
+  /** A window without noise, of whose RPCs some are not served in time. */
+  private static Window quietWindow(int rpcs, int unserved) {
+    int served = rpcs - unserved;
+    return new Window(rpcs, rpcs, served, unserved, 0, 0, served, served * 60, rpcs, 50, 100, rpcs);
+  }
+
   @Test
   public void withoutDataTheResultIsNotSure() {
     Comparison comparison = new Comparison(0.02, 0.1);
