Keep what was answered as rejected from taking effect later

Cause: after a failed sync, and after leadership was lost between the write and the answer, entries were answered as rejected and stayed in the log: a restart or the next leader applied them. Entries that came after a failed sync were written too before they were rejected.

Change: after a failed sync what was not synced is cut off, durably, before it is answered as rejected; nothing more is written by that incarnation. Where it can't be cut off, or leadership was lost meanwhile, the result is Unknown: over HTTP 503 with "unknown", to a relay's vote no answer, which it counts as unanswered. What a write left behind that failed is cut off at once.

--- a/src/main/java/sprucerock/controller/AppendResult.java
+++ b/src/main/java/sprucerock/controller/AppendResult.java
@@ -3,7 +3,8 @@
 import java.util.List;
 
 /** The result of {@link Engine#append}. */
-public sealed interface AppendResult permits AppendResult.Accepted, AppendResult.Rejected {
+public sealed interface AppendResult
+    permits AppendResult.Accepted, AppendResult.Rejected, AppendResult.Unknown {
   /** Why an entry was rejected. */
   enum Reason {
     /** Too many entries wait for the next flush. */
@@ -22,13 +23,20 @@
   record Accepted(Value value) implements AppendResult {}
 
   /**
-   * The entry was not applied. After a failed sync or lost leadership it may still be in the log,
-   * and a later incarnation then applies it.
+   * The entry is not in the log, and is applied by no incarnation and no other leader.
    *
    * @param message the reason in one line, for people
    */
   record Rejected(Reason reason, String message) implements AppendResult {}
 
+  /**
+   * The entry was not applied here, but it may be in the log, so that a later incarnation or
+   * another leader applies it. The caller must not be told that it was rejected.
+   *
+   * @param message the reason in one line, for people
+   */
+  record Unknown(String message) implements AppendResult {}
+
   /** The result of applying an entry. */
   sealed interface Value permits Announced, Voted, WindowsOpened, NoEffect, Done {}
 
--- a/src/main/java/sprucerock/controller/Engine.java
+++ b/src/main/java/sprucerock/controller/Engine.java
@@ -34,11 +34,20 @@
 
   private record PendingEntry(Input.Builder entry, Consumer<AppendResult> onResult) {}
 
+  /**
+   * What became of a batch: its first entries are durable, of the next ones nobody can tell, and
+   * the rest is not in the log.
+   */
+  private record Commit(int durable, int unknown) {}
+
   /** Replaying this many entries takes a few hundred milliseconds. */
   private static final int SNAPSHOT_EVERY_ENTRIES = 10_000;
 
   private static final int MAX_PENDING_ENTRIES = 20_000;
 
+  private static final String LEADERSHIP_LOST =
+      "this controller may have lost leadership; send the request to the leader";
+
   /** The fraction of the elapsed time by which the smoothed wall clock may be corrected. */
   private static final double MAX_SLEW = 0.005;
 
@@ -334,8 +343,12 @@
    * and synced together, then each is applied and answered in the order in which it was appended.
    */
   public void flush() {
+    if (closedToEntries) {
+      rejectPending(failure);
+      return;
+    }
     if (!leadershipCheck.getAsBoolean()) {
-      rejectPending();
+      rejectPending(new AppendResult.Rejected(AppendResult.Reason.NOT_LEADER, LEADERSHIP_LOST));
       return;
     }
     boolean tickDue =
@@ -350,37 +363,56 @@
     }
     List<PendingEntry> batch = List.copyOf(pending);
     pending.clear();
-    int durable = makeDurable(batch);
-    if (durable == batch.size()) {
+    Commit commit = commit(batch);
+    if (commit.durable == batch.size()) {
       failure = null;
     }
     for (int i = 0; i < batch.size(); i++) {
       PendingEntry entry = batch.get(i);
       entry.onResult.accept(
-          i < durable
+          i < commit.durable
               ? new AppendResult.Accepted(stateMachine.apply(entry.entry.build()))
-              : failure);
+              : i < commit.durable + commit.unknown
+                  ? new AppendResult.Unknown("it may take effect later: " + failure.message())
+                  : failure);
     }
-    if (durable > 0 && log.snapshotDue()) {
+    if (commit.durable > 0 && log.snapshotDue()) {
       snapshot();
     }
   }
 
-  private void rejectPending() {
-    for (PendingEntry entry : List.copyOf(pending)) {
-      entry.onResult.accept(
-          new AppendResult.Rejected(
-              AppendResult.Reason.NOT_LEADER,
-              "this controller may have lost leadership; send the request to the leader"));
-    }
+  private void rejectPending(AppendResult.Rejected result) {
+    List<PendingEntry> rejected = List.copyOf(pending);
     pending.clear();
+    for (PendingEntry entry : rejected) {
+      entry.onResult.accept(result);
+    }
   }
 
   /**
-   * Writes and syncs a batch, and returns how many of its first entries are durable and may be
-   * applied.
+   * Writes and syncs a batch. Guards against an entry whose caller is told that it was rejected,
+   * and that a replay or a new leader finds in the log.
    */
-  private int makeDurable(List<PendingEntry> batch) {
+  private Commit commit(List<PendingEntry> batch) {
+    int written = write(batch);
+    int torn = written < batch.size() && log.isTailTorn() ? 1 : 0;
+    boolean synced = written == 0 || fsync();
+    if (!leadershipCheck.getAsBoolean()) {
+      // Leadership may have been lost during a long sync. A new leader may have read what is in
+      // these files by then; it does not read what is written to them after its replay.
+      closedToEntries = true;
+      reportFailure(AppendResult.Reason.NOT_LEADER, LEADERSHIP_LOST);
+      return new Commit(0, written + torn);
+    }
+    if (!synced) {
+      boolean discarded = discardUnsynced() && leadershipCheck.getAsBoolean();
+      return new Commit(0, discarded ? 0 : written + torn);
+    }
+    return new Commit(written, torn);
+  }
+
+  /** Writes a batch, and returns how many of its first entries were written. */
+  private int write(List<PendingEntry> batch) {
     int written = 0;
     try {
       for (PendingEntry entry : batch) {
@@ -390,29 +422,23 @@
     } catch (IOException e) {
       reportFailure(AppendResult.Reason.STORAGE_FAILED, "write failed: " + e.getMessage());
     }
-    if (written > 0 && !fsync()) {
-      written = 0;
-    }
-    if (!leadershipCheck.getAsBoolean()) {
-      // Leadership may have been lost during a long sync. A new leader does
-      // not read what is written to these files after its replay.
-      reportFailure(
-          AppendResult.Reason.NOT_LEADER,
-          "this controller may have lost leadership; send the request to the leader");
-      written = 0;
-      closedToEntries = true;
-    }
     return written;
   }
 
+  private boolean discardUnsynced() {
+    try {
+      log.discardUnsynced();
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   /**
    * Syncs the log. A storage whose sync failed may have lost entries that it had accepted, so no
    * further entry is accepted in this incarnation.
    */
   private boolean fsync() {
-    if (closedToEntries) {
-      return false;
-    }
     try {
       log.fsync();
       return true;
--- a/src/main/java/sprucerock/controller/WriteAheadLog.java
+++ b/src/main/java/sprucerock/controller/WriteAheadLog.java
@@ -52,6 +52,11 @@
   private long lastIndex;
   private int entriesSinceSnapshot;
 
+  /** The file's length and the last entry in it when it was last synced. */
+  private long syncedLength;
+
+  private long syncedIndex;
+
   /**
    * Creates a log over a storage.
    *
@@ -106,6 +111,7 @@
     fileName = logs.isEmpty() ? numberedName(LOG_PREFIX, lastIndex) : logs.get(logs.size() - 1);
     file = storage.openForAppend(fileName);
     fileLength = storage.read(fileName).length;
+    noteSynced();
   }
 
   private State readSnapshot(String name) throws IOException, DamagedException {
@@ -203,14 +209,11 @@
   /**
    * Appends an entry, which is durable after the next {@link #fsync}.
    *
-   * @throws IOException if the storage does not accept the entry; a partial record is cut off
-   *     before the next entry is appended
+   * @throws IOException if the storage does not accept the entry; what was written of it is cut off
+   *     at once, or before the next entry is appended, see {@link #isTailTorn}
    */
   void append(Input entry) throws IOException {
-    if (tailTorn) {
-      storage.truncate(fileName, fileLength);
-      tailTorn = false;
-    }
+    cutTornTail();
     byte[] body = entry.toByteArray();
     ByteArrayOutputStream record = new ByteArrayOutputStream(HEADER_BYTES + body.length);
     ByteBuffer indexAndBody = ByteBuffer.allocate(8 + body.length).putLong(lastIndex + 1).put(body);
@@ -221,16 +224,61 @@
             .array());
     record.writeBytes(indexAndBody.array());
     tailTorn = true;
-    file.append(record.toByteArray());
+    try {
+      file.append(record.toByteArray());
+    } catch (IOException e) {
+      tryToCutTornTail(e);
+      throw e;
+    }
     tailTorn = false;
     fileLength += record.size();
     lastIndex++;
     entriesSinceSnapshot++;
   }
 
+  private void cutTornTail() throws IOException {
+    if (tailTorn) {
+      storage.truncate(fileName, fileLength);
+      tailTorn = false;
+    }
+  }
+
+  private void tryToCutTornTail(IOException cause) {
+    try {
+      cutTornTail();
+    } catch (IOException e) {
+      cause.addSuppressed(e);
+    }
+  }
+
+  /** Whether the log may end with an entry that was not accepted, or with a part of it. */
+  boolean isTailTorn() {
+    return tailTorn;
+  }
+
   /** Makes all appended entries durable. */
   void fsync() throws IOException {
     file.fsync();
+    noteSynced();
+  }
+
+  private void noteSynced() {
+    syncedLength = fileLength;
+    syncedIndex = lastIndex;
+  }
+
+  /**
+   * Cuts off all entries that were appended since the last successful {@link #fsync}, so that no
+   * replay finds them.
+   *
+   * @throws IOException if they may still be in the log
+   */
+  void discardUnsynced() throws IOException {
+    storage.truncate(fileName, syncedLength);
+    entriesSinceSnapshot -= (int) (lastIndex - syncedIndex);
+    fileLength = syncedLength;
+    lastIndex = syncedIndex;
+    tailTorn = false;
   }
 
   /** Whether a snapshot is due. */
@@ -256,6 +304,7 @@
     file = next;
     fileName = numberedName(LOG_PREFIX, lastIndex);
     fileLength = 0;
+    noteSynced();
     entriesSinceSnapshot = 0;
     List<String> snapshots =
         storage.list().stream().filter(name -> name.startsWith(SNAPSHOT_PREFIX)).toList();
--- a/src/main/java/sprucerock/controller/server/LoopDispatcher.java
+++ b/src/main/java/sprucerock/controller/server/LoopDispatcher.java
@@ -38,7 +38,7 @@
 
   /**
    * Submits an input and calls {@code onApplied} with its result once the input is durable.
-   * Responds with 503 if it could not be stored. On the loop only.
+   * Responds with 503 if it could not be stored, or if nobody can tell. On the loop only.
    */
   void submit(
       HttpServerExchange exchange, Input.Builder input, Consumer<AppendResult.Value> onApplied) {
@@ -47,6 +47,8 @@
         result -> {
           if (result instanceof AppendResult.Rejected rejected) {
             HttpExchanges.respond(exchange, 503, "not_kept", rejected.message());
+          } else if (result instanceof AppendResult.Unknown unknown) {
+            HttpExchanges.respond(exchange, 503, "unknown", unknown.message());
           } else if (result instanceof AppendResult.Accepted accepted) {
             onApplied.accept(accepted.value());
           }
--- a/src/main/java/sprucerock/controller/server/RelayListener.java
+++ b/src/main/java/sprucerock/controller/server/RelayListener.java
@@ -222,7 +222,12 @@
                       .setBuild(message.getBuild())
                       .setStage(message.getStage())
                       .setSay(vote.name())),
-          result -> answerVote(message, voteAnswer(result)));
+          result -> {
+            // of an unknown result no answer is right: the relay's own time for it runs out
+            if (!(result instanceof AppendResult.Unknown)) {
+              answerVote(message, voteAnswer(result));
+            }
+          });
     }
 
     private static Taken voteAnswer(AppendResult result) {
--- a/src/test/java/sprucerock/controller/EngineTest.java
+++ b/src/test/java/sprucerock/controller/EngineTest.java
@@ -49,6 +49,12 @@
     private long steps;
     private long crashAtStep = Long.MAX_VALUE;
     private boolean full;
+    private boolean syncFails;
+    private boolean truncateFails;
+
+    /** Whether a restart finds all bytes that were appended, synced or not. */
+    private boolean keepsUnsynced;
+
     private final SplittableRandom random = new SplittableRandom(5);
 
     /**
@@ -58,7 +64,9 @@
       for (String name : List.copyOf(currentFiles.keySet())) {
         byte[] durable = durableFiles.getOrDefault(name, new byte[0]);
         byte[] current = currentFiles.get(name).toByteArray();
-        if (current.length > durable.length) {
+        if (keepsUnsynced) {
+          durableFiles.put(name, current);
+        } else if (current.length > durable.length) {
           durableFiles.put(
               name,
               Arrays.copyOf(
@@ -109,8 +117,11 @@
         }
 
         @Override
-        public void fsync() {
+        public void fsync() throws IOException {
           step();
+          if (syncFails) {
+            throw new IOException("Input/output error");
+          }
           durableFiles.put(name, file.toByteArray());
         }
 
@@ -136,8 +147,11 @@
     }
 
     @Override
-    public void truncate(String name, long length) {
+    public void truncate(String name, long length) throws IOException {
       step();
+      if (truncateFails) {
+        throw new IOException("Input/output error");
+      }
       byte[] truncated = Arrays.copyOf(read(name), (int) length);
       currentFiles.get(name).reset();
       currentFiles.get(name).writeBytes(truncated);
@@ -553,6 +567,92 @@
     assertEquals(next.rollouts().current().build, 3);
   }
 
+  /**
+   * A storage that keeps what was written though its sync failed, and an engine that runs on it.
+   */
+  private SimulatedStorage storageThatKeepsAll() {
+    SimulatedStorage storage = new SimulatedStorage();
+    storage.keepsUnsynced = true;
+    return storage;
+  }
+
+  private List<AppendResult> appendAndFlush(Engine engine, Input.Builder... entries) {
+    List<AppendResult> results = new ArrayList<>();
+    for (Input.Builder entry : entries) {
+      engine.append(entry, results::add);
+    }
+    engine.flush();
+    return results;
+  }
+
+  /** Guards against an entry that was answered as rejected and takes effect after a restart. */
+  @Test
+  public void anEntryRejectedForAFailedSyncNeverTakesEffect() throws Exception {
+    SimulatedStorage storage = storageThatKeepsAll();
+    Engine engine = engine(storage, 1000);
+    engine.start();
+    assertTrue(isTaken(appendAndFlush(engine, announce("a", 2)).get(0)));
+    storage.syncFails = true;
+    for (AppendResult result : appendAndFlush(engine, announce("b", 3), announce("c", 4))) {
+      assertTrue(result instanceof AppendResult.Rejected, result.toString());
+    }
+    storage.syncFails = false;
+    AppendResult later = appendAndFlush(engine, announce("d", 5)).get(0);
+    assertTrue(later instanceof AppendResult.Rejected, later.toString());
+    storage.restart(Long.MAX_VALUE);
+    Engine next = engine(storage, 1000);
+    next.start();
+    assertEquals(next.rollouts().current().build, 2);
+    for (int rejected : new int[] {3, 4, 5}) {
+      assertEquals(next.rollouts().rollout(rejected), null);
+    }
+  }
+
+  /** Guards against a "no" that nobody can know to be right. */
+  @Test
+  public void anEntryThatMayStayInTheLogIsNotAnsweredAsRejected() throws Exception {
+    SimulatedStorage storage = storageThatKeepsAll();
+    Engine engine = engine(storage, 1000);
+    engine.start();
+    storage.syncFails = true;
+    storage.truncateFails = true;
+    AppendResult result = appendAndFlush(engine, announce("b", 3)).get(0);
+    assertTrue(result instanceof AppendResult.Unknown, result.toString());
+    AppendResult later = appendAndFlush(engine, announce("d", 5)).get(0);
+    assertTrue(later instanceof AppendResult.Rejected, later.toString());
+    storage.truncateFails = false;
+    storage.syncFails = false;
+    storage.restart(Long.MAX_VALUE);
+    Engine next = engine(storage, 1000);
+    next.start();
+    assertTrue(next.rollouts().rollout(3) != null, "the storage has kept it");
+    assertEquals(next.rollouts().rollout(5), null);
+  }
+
+  /** Guards against a "no" for an entry that the next leader has read. */
+  @Test
+  public void anEntryWrittenAsLeadershipIsLostIsNotAnsweredAsRejected() throws Exception {
+    SimulatedStorage storage = storageThatKeepsAll();
+    Engine engine = engine(storage, 1000);
+    engine.start();
+    boolean[] asked = new boolean[1];
+    engine.setLeadershipCheck(
+        () -> {
+          boolean isFirst = !asked[0];
+          asked[0] = true;
+          return isFirst;
+        });
+    AppendResult result = appendAndFlush(engine, announce("b", 3)).get(0);
+    assertTrue(result instanceof AppendResult.Unknown, result.toString());
+    AppendResult later = appendAndFlush(engine, announce("d", 5)).get(0);
+    assertTrue(later instanceof AppendResult.Rejected, later.toString());
+    storage.restart(Long.MAX_VALUE);
+    Engine next = engine(storage, 1000);
+    next.start();
+    assertTrue(next.rollouts().rollout(3) != null, "the next leader has read it");
+    assertEquals(next.rollouts().rollout(5), null);
+  }
+
   @Test
   public void aTornTailIsTruncatedAndAHoleStopsTheStart() throws Exception {
     Path folder = Files.createTempDirectory("store");
