Leave out relays whose agents did not answer when validation ends

Cause: at the deadline those that had rejected a version were left out of the change, and those that had not answered were updated all the same (RelaySelector goes by rejections alone).

Change: a reachable relay whose agent did not answer in time counts as rejected, with that reason, once validation ends. A log that is replayed across this update makes this decision for a proposal that is open then.

Measured: aSingleRelayThatDoesNotAnswerIsLeftOut failed before (no rejection; the relay was updated), and passes.

--- a/src/main/java/sprucerock/controller/deployment/Deployment.java
+++ b/src/main/java/sprucerock/controller/deployment/Deployment.java
@@ -80,7 +80,7 @@
   /** Relays whose agents have accepted the version. */
   final TreeSet<Integer> validated = new TreeSet<>();
 
-  /** Relays whose agents have rejected the version, with the reason. */
+  /** Relays whose agents have rejected the version or did not validate it, with the reason. */
   final Map<Integer, String> rejections = new TreeMap<>();
 
   /**
--- a/src/main/java/sprucerock/controller/deployment/Reconciler.java
+++ b/src/main/java/sprucerock/controller/deployment/Reconciler.java
@@ -84,6 +84,18 @@
     }
   }
 
+  /**
+   * Leaves out reachable relays whose agents did not answer in time. Guards against an update of a
+   * relay of which nobody knows whether it can run the version.
+   */
+  private void rejectUnvalidated(Deployment deployment) {
+    for (ManagedRelay relay : fleet.relays.values()) {
+      if (!relay.unreachable() && !deployment.validated.contains(relay.number)) {
+        deployment.rejections.putIfAbsent(relay.number, "its agent did not answer in time");
+      }
+    }
+  }
+
   private void complete(Deployment deployment, String cause, Timestamp now) {
     fleet.currentVersion = deployment.toVersion;
     for (ManagedRelay relay : fleet.relays.values()) {
@@ -120,6 +132,9 @@
     if (deployment.stage != stage) {
       deployment.verdict = Verdict.NOT_SURE;
     }
+    if (deployment.state == State.PROPOSED && to == State.CHECKED) {
+      rejectUnvalidated(deployment);
+    }
     deployment.state = to;
     deployment.stage = stage;
     if (stateChanges) {
--- a/src/test/java/sprucerock/controller/deployment/DeploymentManagerTest.java
+++ b/src/test/java/sprucerock/controller/deployment/DeploymentManagerTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.testng.annotations.Test;
 import sprucerock.controller.deployment.Deployment.State;
 import sprucerock.time.TimeSpan;
@@ -286,6 +287,29 @@
     assertEquals(fleet.deployments.relay(4).observedVersion(), OLD);
   }
 
+  /** Guards against an update of a relay of which nobody knows whether it can run the version. */
+  @Test
+  public void aSingleRelayThatDoesNotAnswerIsLeftOut() {
+    Fleet fleet = new Fleet(20);
+    assertNull(fleet.deployments.propose("eve", "new limits", NEW, false, fleet.now(), 0));
+    Deployment deployment = fleet.deployments.pending();
+    for (int i = 0; i < 20; i++) {
+      if (i != 4) {
+        fleet.deployments.reportValidation(i, deployment.number, "", fleet.now(), 0);
+      }
+    }
+    fleet.advance(121_000); // the deadline
+    assertEquals(deployment.rejections().keySet(), Set.of(4));
+    for (int stage = 0; stage < 3; stage++) {
+      fleet.applyDesiredStates();
+      reportNoWorse(fleet, deployment);
+      fleet.advance(11_000);
+    }
+    assertEquals(deployment.state(), State.DONE);
+    assertEquals(fleet.countRunning(NEW), 19);
+    assertEquals(fleet.deployments.relay(4).observedVersion(), OLD);
+  }
+
   @Test
   public void theRestartBudgetLimitsUnavailableRelays() {
     Fleet fleet = new Fleet(20);
