Force the folder of artifacts behind a rename, and let several threads use the store

Cause: ArtifactStore.publish forced the file and not its folder, so that after a power cut the log may name a digest whose file is gone. It said that it is not thread-safe, and is called by HTTP workers and the loop.

Change: the folder is forced before an artifact counts as stored; looking, publishing and deleting hold the store's monitor; partial files have names of their own.

Measured: ArtifactStoreTest passes with three new tests (the folder's sync behind each rename, an error of it, eight threads). They were not run on the old text, which has no place to look in.

--- a/src/main/java/sprucerock/agent/artifact/ArtifactStore.java
+++ b/src/main/java/sprucerock/agent/artifact/ArtifactStore.java
@@ -23,19 +23,26 @@
 /**
  * Stores programs and settings in a folder, each under the SHA-256 of its bytes. A file under a
  * digest has that content, completely, or is not there: what arrives in chunks is written to a
- * partial file, verified, forced to the disk and renamed.
+ * partial file, verified, forced to the disk and renamed, and the folder is forced too.
  *
- * <p>Not thread-safe; the folder belongs to one store at a time.
+ * <p>Thread-safe, but for a {@link Download}, which belongs to one thread. The folder belongs to
+ * one store at a time.
  */
 public final class ArtifactStore {
+  /** Forces the names in a folder to the disk. */
+  interface FolderSync {
+    void sync(Path folder) throws IOException;
+  }
+
   private static final int BUFFER_BYTES = 1 << 16;
   private static final String SHA_256 = "[0-9a-f]{64}";
   private static final String PARTIAL_SUFFIX = ".part";
 
   private final Path folder;
   private final long maxBytes;
+  private final FolderSync folderSync;
 
-  /** Digests whose content was verified by this process. */
+  /** Digests whose content was verified by this process. Guarded by this store's monitor. */
   private final Set<String> verified = new HashSet<>();
 
   /**
@@ -45,8 +52,13 @@
    * @throws IOException if the folder can't be made or read
    */
   public ArtifactStore(Path folder, long maxBytes) throws IOException {
+    this(folder, maxBytes, ArtifactStore::forceFolder);
+  }
+
+  ArtifactStore(Path folder, long maxBytes, FolderSync folderSync) throws IOException {
     this.folder = Files.createDirectories(folder);
     this.maxBytes = maxBytes;
+    this.folderSync = folderSync;
     try (Stream<Path> found = Files.list(folder)) {
       for (Path one : found.toList()) {
         if (one.toString().endsWith(PARTIAL_SUFFIX)) {
@@ -61,7 +73,7 @@
    * somebody changed is deleted and counts as missing. So does what can't be read: storing it again
    * then shows the disk's error.
    */
-  public boolean has(String digest) {
+  public synchronized boolean has(String digest) {
     Path file = path(digest);
     if (!Files.exists(file)) {
       return false;
@@ -105,8 +117,8 @@
     if (size > maxBytes) {
       throw new IOException(file + " has " + size + " bytes, " + maxBytes + " are allowed");
     }
-    Path part = folder.resolve("put-" + System.nanoTime() + PARTIAL_SUFFIX);
-    Files.copy(file, part);
+    Path part = Files.createTempFile(folder, "put-", PARTIAL_SUFFIX);
+    Files.copy(file, part, StandardCopyOption.REPLACE_EXISTING);
     String digest = digest(part);
     publish(part, digest);
     return digest;
@@ -116,11 +128,26 @@
     try (FileChannel channel = FileChannel.open(part, StandardOpenOption.WRITE)) {
       channel.force(true);
     }
+    rename(part, digest);
+  }
+
+  /**
+   * Guards against a crash that leaves a digest in the log whose file has lost its name, and
+   * against another thread that deletes the file as a damaged one it has just read.
+   */
+  private synchronized void rename(Path part, String digest) throws IOException {
     Files.move(
         part, path(digest), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    folderSync.sync(folder);
     verified.add(digest);
   }
 
+  private static void forceFolder(Path folder) throws IOException {
+    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+      channel.force(true);
+    }
+  }
+
   /** The SHA-256 of a file in lower-case hex. */
   public static String digest(Path file) throws IOException {
     MessageDigest sha = sha256();
@@ -236,7 +263,7 @@
     }
   }
 
-  private void delete(Path file) throws IOException {
+  private synchronized void delete(Path file) throws IOException {
     verified.remove(file.getFileName().toString());
     Files.delete(file);
   }
--- a/src/test/java/sprucerock/agent/artifact/ArtifactStoreTest.java
+++ b/src/test/java/sprucerock/agent/artifact/ArtifactStoreTest.java
@@ -8,8 +8,14 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -52,6 +58,59 @@
     }
   }
 
+  /** Guards against a crash behind the rename, after which the log names a file that is gone. */
+  @Test
+  public void theFolderIsForcedBehindEachRename() throws Exception {
+    List<Boolean> wasThereAtSync = new ArrayList<>();
+    String other = ArtifactStore.digest(programOf((byte) 8));
+    ArtifactStore store =
+        new ArtifactStore(
+            folder, 1 << 20, synced -> wasThereAtSync.add(Files.exists(synced.resolve(other))));
+    assertEquals(store.store(programOf((byte) 8)), other);
+    assertEquals(wasThereAtSync, List.of(true));
+    Files.delete(folder.resolve(other));
+    byte[] content = Files.readAllBytes(programOf((byte) 8));
+    assertTrue(store.startDownload(other).append(0, content, content.length));
+    assertEquals(wasThereAtSync, List.of(true, true));
+  }
+
+  /** Guards against an artifact that is told as stored though a crash may still take it. */
+  @Test
+  public void anArtifactWhoseFolderCanNotBeForcedIsNotStored() throws Exception {
+    ArtifactStore store =
+        new ArtifactStore(
+            folder,
+            1 << 20,
+            synced -> {
+              throw new IOException("no disk");
+            });
+    expectThrows(IOException.class, () -> store.store(programOf((byte) 8)));
+  }
+
+  /** Guards against threads that store the same artifact, or look at it, at the same time. */
+  @Test
+  public void severalThreadsMayStoreAndLook() throws Exception {
+    ArtifactStore store = reopened();
+    ExecutorService threads = Executors.newFixedThreadPool(8);
+    List<Callable<Boolean>> tasks = new ArrayList<>();
+    for (int i = 0; i < 200; i++) {
+      Path file = programOf((byte) (i % 10));
+      tasks.add(() -> store.has(store.store(file)));
+    }
+    for (Future<Boolean> task : threads.invokeAll(tasks)) {
+      assertTrue(task.get());
+    }
+    threads.shutdown();
+    assertEquals(Files.list(folder).count(), 11); // with the one that was there
+  }
+
+  private static Path programOf(byte filler) throws IOException {
+    byte[] content = new byte[10_000];
+    Arrays.fill(content, filler);
+    Path file = Files.createTempFile("program", ".jar");
+    return Files.write(file, content);
+  }
+
   @Test
   public void dropsPartialDownloadOnReopen() throws Exception {
     String other = "0".repeat(64);
