Take the port 0 from LB_LISTEN alone: a file with it is refused as before

Change: only LB_LISTEN, which stands above the file, may leave the port to the system; the tests that start relays set it.

Measured: PlatformSettingsCompatTest, CrossingsTest, ListCrossingsTest, InventedSettingsTest and the three classes of serve's processes pass.

--- a/src/main/java/sprucerock/relay/platform/PlatformConfig.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformConfig.java
@@ -52,9 +52,7 @@
   private PlatformConfig(Path file, JsonNode root, Map<String, String> environment)
       throws ConfigException {
     name = environment.getOrDefault("LB_NAME", text(file, root, "name", "relay"));
-    listen =
-        listenAddress(
-            file, environment.getOrDefault("LB_LISTEN", text(file, root, "listen", null)));
+    listen = listenAddress(file, text(file, root, "listen", null), environment.get("LB_LISTEN"));
     discovery =
         address(file, text(file, root, "discovery", environment.get("LB_DISCOVERY")), "discovery");
     desk =
@@ -166,10 +164,17 @@
     return address;
   }
 
-  /** Where to listen; the system chooses a port in place of 0. */
-  private static InetSocketAddress listenAddress(Path file, String text) throws ConfigException {
-    InetSocketAddress address = parse(text);
-    return address != null ? address : address(file, text, "listen");
+  /**
+   * Where to listen. The system chooses a port in place of 0, which only the environment may have:
+   * who starts the process reads the port in its log.
+   */
+  private static InetSocketAddress listenAddress(Path file, String inFile, String inEnvironment)
+      throws ConfigException {
+    if (inEnvironment == null) {
+      return address(file, inFile, "listen");
+    }
+    InetSocketAddress address = parse(inEnvironment);
+    return address != null ? address : address(file, inEnvironment, "listen");
   }
 
   /** An address and its port; null where the text is none. */
--- a/src/test/java/sprucerock/relay/platform/ClientCrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/ClientCrossingsTest.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -100,7 +99,8 @@
             .replace("ON_TIME", "" + onTime)
             .formatted(discovery.address(), peers.new Agent().address(), String.join(",", known));
     PlatformConfig config =
-        PlatformConfig.of(Path.of("test"), text.getBytes(StandardCharsets.UTF_8), Map.of());
+        PlatformConfig.of(
+            Path.of("test"), text.getBytes(StandardCharsets.UTF_8), LoopRelay.ANY_PORT);
     loop = new NioLoop("relay", broken::add);
     LoopRelay started =
         LoopRelay.start(
--- a/src/test/java/sprucerock/relay/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/CrossingsTest.java
@@ -83,7 +83,8 @@
             .replace("LONGEST", "" + longest)
             .formatted(discovery.address(), sockets, desk.address(), String.join(",", known), idle);
     PlatformConfig config =
-        PlatformConfig.of(Path.of("test"), text.getBytes(StandardCharsets.UTF_8), Map.of());
+        PlatformConfig.of(
+            Path.of("test"), text.getBytes(StandardCharsets.UTF_8), LoopRelay.ANY_PORT);
     loop = new NioLoop("relay", broken::add);
     LoopRelay started = LoopRelay.start(loop, config, RoutingPolicy::new);
     serving = started.relay();
@@ -421,7 +422,8 @@
             .replace("LONGEST", "" + longest)
             .formatted(elsewhere.address(), sockets, desk.address(), "", idle);
     PlatformConfig anew =
-        PlatformConfig.of(Path.of("test"), moved.getBytes(StandardCharsets.UTF_8), Map.of());
+        PlatformConfig.of(
+            Path.of("test"), moved.getBytes(StandardCharsets.UTF_8), LoopRelay.ANY_PORT);
     loop.post(() -> serving.reload(anew));
     Peers.Agent.Call next = elsewhere.call();
     watch.list(5, false, one.entry("s-1", "DRAINING", 7), two.entry("s-2", "SERVING", 7));
--- a/src/test/java/sprucerock/relay/platform/InventedSettingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/InventedSettingsTest.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import org.testng.annotations.AfterMethod;
@@ -61,7 +60,8 @@
             + settings
             + "}";
     PlatformConfig config =
-        PlatformConfig.of(Path.of("test"), text.getBytes(StandardCharsets.UTF_8), Map.of());
+        PlatformConfig.of(
+            Path.of("test"), text.getBytes(StandardCharsets.UTF_8), LoopRelay.ANY_PORT);
     loop = new NioLoop("relay", broken::add);
     LoopRelay started = LoopRelay.start(loop, config, RoutingPolicy::new);
     serving = started.relay();
--- a/src/test/java/sprucerock/relay/platform/ListCrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/ListCrossingsTest.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -95,7 +94,8 @@
 
   private PlatformConfig config(Peers.Agent at) throws Exception {
     String text = CONFIG.formatted(at.address(), desk.address(), serves(one) + "," + serves(two));
-    return PlatformConfig.of(Path.of("test"), text.getBytes(StandardCharsets.UTF_8), Map.of());
+    return PlatformConfig.of(
+        Path.of("test"), text.getBytes(StandardCharsets.UTF_8), LoopRelay.ANY_PORT);
   }
 
   /** As a signal: discovery is at the new address. */
--- a/src/test/java/sprucerock/relay/platform/ServeKillTest.java
+++ b/src/test/java/sprucerock/relay/platform/ServeKillTest.java
@@ -24,7 +24,7 @@
 public class ServeKillTest {
   private static final String CONFIG =
       """
-        {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c","limits":{"sockets":256},"release_api":{"address":"%s","news":{}},
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c","limits":{"sockets":256},"release_api":{"address":"%s","news":{}},
          "known":{"version":4,"full":true,"servers":[%s]},
          "settings":{"balancers":1,"index":0,"my_zone":0,"tick":5,"zones":["a"],"kinds":["m"],"membership_mode":"push",
           "classes":[{"name":"pay","effect":"non_idempotent","on_time":20000,"hard_limit":20000,"worth":1}],
@@ -63,9 +63,8 @@
   private void starts() throws Exception {
     Files.writeString(
         file,
-        CONFIG.formatted(
-            port, discovery.address(), desk.address(), endpoint.entry("s-1", "SERVING", 7)));
-    relay = ServeProcess.start(file);
+        CONFIG.formatted(discovery.address(), desk.address(), endpoint.entry("s-1", "SERVING", 7)));
+    relay = ServeProcess.start(file, port);
     discovery.call().begins().list(4, false);
     port = relay.awaitStarted();
   }
--- a/src/test/java/sprucerock/relay/platform/ServeMemoryTest.java
+++ b/src/test/java/sprucerock/relay/platform/ServeMemoryTest.java
@@ -63,7 +63,7 @@
         file,
         CONFIG.formatted(
             discovery.address(), peers.new Agent().address(), endpoint.entry("s-1", "SERVING", 7)));
-    relay = ServeProcess.start(file, "-Xmx24m", "-Xss512k");
+    relay = ServeProcess.start(file, 0, "-Xmx24m", "-Xss512k");
     discovery.call().begins().list(4, false);
     port = relay.awaitStarted();
   }
--- a/src/test/java/sprucerock/relay/platform/ServeProcess.java
+++ b/src/test/java/sprucerock/relay/platform/ServeProcess.java
@@ -32,8 +32,13 @@
     reader.start();
   }
 
-  /** Starts a relay by a configuration file, with further options of its virtual machine. */
-  static ServeProcess start(Path config, String... options) throws IOException {
+  /**
+   * Starts a relay by a configuration file.
+   *
+   * @param port where it listens; 0: the system chooses one
+   * @param options of its virtual machine
+   */
+  static ServeProcess start(Path config, int port, String... options) throws IOException {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
@@ -42,6 +47,7 @@
         List.of("-cp", System.getProperty("java.class.path"), "sprucerock.Main", "serve"));
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().put("LB_CONFIG", config.toString());
+    builder.environment().put("LB_LISTEN", "127.0.0.1:" + port);
     return new ServeProcess(builder.start());
   }
 
--- a/src/test/java/sprucerock/relay/platform/ServeShutdownTest.java
+++ b/src/test/java/sprucerock/relay/platform/ServeShutdownTest.java
@@ -51,7 +51,7 @@
         file,
         CONFIG.formatted(
             discovery.address(), peers.new Agent().address(), endpoint.entry("s-1", "SERVING", 7)));
-    relay = ServeProcess.start(file);
+    relay = ServeProcess.start(file, 0);
   }
 
   @AfterMethod
