Log refusals by reason, what waits for clients, and requests whose client left

Change: RefusalReason and ClientFigures. The line CLIENTS has accepted and rejected connections, refusals by reason, and the peaks of what waits for clients, of what commands hold and of the loop's delay; it comes with FIGURES, and each second while clients are refused. CLIENT_LEFT has the id of a request whose client closed its connection, CLIENT_CUT the connections that broke or were cut. The last line of a process that ends by an error has the heap's use. FIGURES and all other lines are as before.

--- a/src/main/java/sprucerock/cli/FatalThreadHandler.java
+++ b/src/main/java/sprucerock/cli/FatalThreadHandler.java
@@ -6,6 +6,8 @@
  * connections, and answer nobody. Whoever supervises it starts another.
  */
 final class FatalThreadHandler implements Thread.UncaughtExceptionHandler {
+  private static final int BYTES_PER_KB = 1024;
+
   private FatalThreadHandler() {}
 
   /** Has it handle all threads of this process. */
@@ -16,8 +18,16 @@
   @Override
   public void uncaughtException(Thread thread, Throwable fault) {
     try {
+      Runtime machine = Runtime.getRuntime();
       System.err.println(
-          "BROKEN thread " + thread.getName() + " ended: " + fault + "; the process ends");
+          "BROKEN thread "
+              + thread.getName()
+              + " ended: "
+              + fault
+              + "; the process ends; heap-kb "
+              + (machine.totalMemory() - machine.freeMemory()) / BYTES_PER_KB
+              + " of "
+              + machine.maxMemory() / BYTES_PER_KB);
     } finally {
       // not exit: what runs at an orderly end may wait for the thread that has ended
       Runtime.getRuntime().halt(Commands.FAILED);
--- a/src/main/java/sprucerock/relay/engine/EventLog.java
+++ b/src/main/java/sprucerock/relay/engine/EventLog.java
@@ -25,6 +25,8 @@
     MODULE,
     CLIENT_CUT,
     CLIENT_REFUSED,
+    CLIENT_LEFT,
+    CLIENTS,
     TURNED_AWAY,
     UNIT_LOST,
     UNIT_MISNAMED,
--- a/src/main/java/sprucerock/relay/engine/Request.java
+++ b/src/main/java/sprucerock/relay/engine/Request.java
@@ -31,6 +31,11 @@
     timers.add(timer);
   }
 
+  /** How many of its attempts have not ended. */
+  public final int attemptsOut() {
+    return attemptsOut;
+  }
+
   final void attemptBegan() {
     attemptsOut++;
   }
--- a/src/main/java/sprucerock/relay/platform/ClientListener.java
+++ b/src/main/java/sprucerock/relay/platform/ClientListener.java
@@ -38,6 +38,7 @@
 
   private final Net net;
   private final EventLog events;
+  private final ClientFigures figures = new ClientFigures();
   private final Owner owner;
   private final Map<String, Method> methods;
   private final BufferBudget commandBudget;
@@ -84,13 +85,16 @@
               PlatformClientConnection connection =
                   new PlatformClientConnection(this, net.now(), leaving);
               connections.add(connection);
+              figures.accepted();
               return connection;
             });
     listener.onRejected(
-        () ->
-            events.warn(
-                EventLog.Event.TURNED_AWAY,
-                "a client as it came: " + (most + SPARE) + " connections are open"));
+        () -> {
+          figures.rejected();
+          events.warn(
+              EventLog.Event.TURNED_AWAY,
+              "a client as it came: " + (most + SPARE) + " connections are open");
+        });
     look();
   }
 
@@ -213,10 +217,34 @@
     owner.left(asked);
   }
 
-  void logRefusal(String why) {
+  void logRefusal(RefusalReason reason, String why) {
+    figures.refused(reason);
     events.warn(EventLog.Event.CLIENT_REFUSED, why);
   }
 
+  /** A client closed its connection with a request open. */
+  void logLeft(PlatformRequest request, String why) {
+    figures.leftOpen();
+    events.info(
+        EventLog.Event.CLIENT_LEFT,
+        "request "
+            + request.statement.id
+            + " was open with "
+            + request.attemptsOut()
+            + " attempts out: "
+            + why);
+  }
+
+  /** The connection broke, or was cut by this relay. */
+  void logCut(String why) {
+    events.warn(EventLog.Event.CLIENT_CUT, why);
+  }
+
+  /** What becomes of clients. */
+  ClientFigures figures() {
+    return figures;
+  }
+
   void closed(PlatformClientConnection connection) {
     connections.remove(connection);
   }
--- a/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
@@ -56,7 +56,7 @@
   }
 
   /** Why the connection is ended once what it is owed is answered. */
-  private record Refusal(String sqlState, String reason) {}
+  private record Refusal(RefusalReason reason, String sqlState, String text) {}
 
   private enum State {
     OPEN,
@@ -139,7 +139,7 @@
       }
       updateMemoryWait();
     } catch (ProtocolException e) {
-      end("08P01", e.getMessage());
+      end(RefusalReason.UNREADABLE_MESSAGE, "08P01", e.getMessage());
     }
   }
 
@@ -178,7 +178,9 @@
     refuseWaitingCommands();
     refusal =
         new Refusal(
-            "08P01", "more than " + MAX_WAITING_COMMANDS + " commands wait on one connection");
+            RefusalReason.TOO_MANY_WAITING,
+            "08P01",
+            "more than " + MAX_WAITING_COMMANDS + " commands wait on one connection");
   }
 
   private void refuseWaitingCommands() {
@@ -190,7 +192,7 @@
   private void startup(byte[] body) throws ProtocolException {
     switch (MessageReader.parseStartup(body)) {
       case ENCRYPTION -> connection.append(NO_ENCRYPTION);
-      case CANCEL -> end(null, "cancels nothing here");
+      case CANCEL -> endSilently();
       default -> {
         started = true;
         framer.startupComplete();
@@ -254,7 +256,7 @@
   }
 
   private void refuse(String reason) {
-    refusal = new Refusal("53300", reason);
+    refusal = new Refusal(RefusalReason.NO_ROOM, "53300", reason);
     endIfRefused();
   }
 
@@ -278,7 +280,7 @@
   /** Once what was taken before has its answer, which the error would be mistaken for. */
   private void endIfRefused() {
     if (refusal != null && isOpen() && open == null && waiting.isEmpty()) {
-      end(refusal.sqlState, refusal.reason);
+      end(refusal.reason, refusal.sqlState, refusal.text);
     }
   }
 
@@ -314,7 +316,7 @@
   private void process(Command command) throws ProtocolException {
     if (command.isRefused()) {
       hasAsked = true;
-      owner.logRefusal("no room for its command");
+      owner.logRefusal(RefusalReason.NO_ROOM, "no room for its command");
       answered(
           MessageWriter.errorResponse(
               "ERROR", "53300", "no room for the command; trying again is harmless", null));
@@ -329,7 +331,7 @@
       throw new ProtocolException(
           "only simple queries are served here, not a message of type " + command.type);
     }
-    end(null, "client said goodbye");
+    endSilently();
   }
 
   /** Takes a query; its bytes are released with the request, or here if none is made of it. */
@@ -374,7 +376,7 @@
     } catch (Statement.UnreadableException e) {
       error = e.getMessage();
     }
-    owner.logRefusal(error);
+    owner.logRefusal(RefusalReason.UNREADABLE_STATEMENT, error);
     answered(MessageWriter.errorResponse("ERROR", "42601", error, null));
     return null;
   }
@@ -428,7 +430,7 @@
     try {
       processWaiting();
     } catch (ProtocolException e) {
-      end("08P01", e.getMessage());
+      end(RefusalReason.UNREADABLE_MESSAGE, "08P01", e.getMessage());
     }
   }
 
@@ -444,16 +446,19 @@
 
   // The end of the connection.
 
-  /**
-   * Says why, unless {@code code} is null, and closes; an RPC that is open has that as its answer.
-   */
-  private void end(String code, String why) {
+  /** Says why, and closes; an RPC that is open has that as its answer. */
+  private void end(RefusalReason reason, String code, String why) {
     if (!isOpen()) {
       return;
     }
-    if (code != null) {
-      owner.logRefusal(why);
-      connection.append(MessageWriter.errorResponse("FATAL", code, why, null));
+    owner.logRefusal(reason, why);
+    connection.append(MessageWriter.errorResponse("FATAL", code, why, null));
+    endSilently();
+  }
+
+  private void endSilently() {
+    if (!isOpen()) {
+      return;
     }
     state = State.ENDING;
     discardPartialMessage();
@@ -501,6 +506,11 @@
 
   @Override
   public void closed(String why) {
+    if (open != null) {
+      owner.logLeft(open, why);
+    } else if (isOpen() && !why.equals(Connection.CLOSED_BY_PEER)) {
+      owner.logCut(why);
+    }
     state = State.CLOSED;
     discardPartialMessage();
     releaseWaitingCommands();
@@ -546,11 +556,11 @@
 
   /** It gives way to others: between two commands in good order, one that never asked is told. */
   void giveWay() {
-    owner.logRefusal("too many connections");
     if (hasAsked) {
+      owner.logRefusal(RefusalReason.TOO_MANY_CONNECTIONS, "too many connections");
       closeIfIdle();
     } else {
-      end("53300", "too many connections");
+      end(RefusalReason.TOO_MANY_CONNECTIONS, "53300", "too many connections");
     }
   }
 
@@ -562,9 +572,12 @@
   void checkSilence(TimeSpan limit) {
     Timestamp heardUpTo = owner.heardUpTo();
     if (!hasAsked && open == null && heardUpTo.since(acceptedAt).over(limit)) {
-      end("08P01", "nothing was asked for " + limit.ms() + " ms");
+      end(RefusalReason.SILENT, "08P01", "nothing was asked for " + limit.ms() + " ms");
     } else if (partialSince != null && heardUpTo.since(partialSince).over(limit)) {
-      end("08P01", "a message was begun and not ended for " + limit.ms() + " ms");
+      end(
+          RefusalReason.SILENT,
+          "08P01",
+          "a message was begun and not ended for " + limit.ms() + " ms");
     } else if (owner.answersWaitForMemory() && hasUnsentFor(limit)) {
       connection.cut("does not read what it is sent");
     }
--- a/src/main/java/sprucerock/relay/platform/PlatformRelay.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformRelay.java
@@ -48,6 +48,7 @@
   private static final TimeSpan MARGIN = TimeSpan.ofMs(250);
   // before the kill; a loop under load is some 50 ms late
   private static final TimeSpan FIGURES = TimeSpan.ofMs(5000);
+  private static final TimeSpan REFUSALS = TimeSpan.ofMs(1000);
   private static final int DATAGRAM = 256;
   private static final TimeSpan BEAT = TimeSpan.ofMs(50);
   // how late it comes tells how far the loop is behind
@@ -68,6 +69,7 @@
   private final Runnable askSettings;
   private Timestamp askedSettings;
   private final PlatformConnectionPools endpoints;
+  private final MemoryLimit commandMemory;
   private final ClientListener clients;
   private final Discovery discovery;
   private final ReleaseApiClient desk;
@@ -97,9 +99,8 @@
       methods.put(config.methodNames.get(method.index), method);
     }
     int forClients = (int) (config.sockets * CLIENTS);
-    BufferBudget commandBudget =
-        new BufferBudget(
-            net, MemoryLimit.ofHeap(REQUEST_MEMORY_SHARE, () -> 0), CLIENT_STALL_LIMIT);
+    commandMemory = MemoryLimit.ofHeap(REQUEST_MEMORY_SHARE, () -> 0);
+    BufferBudget commandBudget = new BufferBudget(net, commandMemory, CLIENT_STALL_LIMIT);
     BufferBudget answerBudget =
         new BufferBudget(
             net,
@@ -169,6 +170,7 @@
         net.now().plus(WAIT_FOR_LIST),
         () -> letClientsIn("without discovery, which did not answer in time"));
     net.at(net.now().plus(FIGURES), this::figures);
+    net.at(net.now().plus(REFUSALS), this::logRefusals);
     beat(net.now());
   }
 
@@ -188,10 +190,19 @@
           EventLog.Event.HELD_UP,
           "for " + Math.round(late.ms()) + " ms; " + requestTracker.openRpcs() + " RPCs are open");
     }
+    clients.figures().sample(net.unsentOnAccepted(), commandMemory.heldBytes(), late);
     Timestamp next = net.now().plus(BEAT);
     net.at(next, () -> beat(next));
   }
 
+  /** Each second while clients are refused: what fills the memory may do so within seconds. */
+  private void logRefusals() {
+    if (clients.figures().hasRefused()) {
+      eventLog.info(EventLog.Event.CLIENTS, clients.figures().line());
+    }
+    net.at(net.now().plus(REFUSALS), this::logRefusals);
+  }
+
   private void learnt() {
     letClientsIn("with a list");
   }
@@ -256,6 +267,7 @@
             + Math.round(discovery.silent().ms())
             + " desk-silent-ms "
             + Math.round(desk.silent().ms()));
+    eventLog.info(EventLog.Event.CLIENTS, clients.figures().line());
     net.at(net.now().plus(FIGURES), this::figures);
   }
 
--- a/src/main/java/sprucerock/transport/net/Connection.java
+++ b/src/main/java/sprucerock/transport/net/Connection.java
@@ -11,6 +11,9 @@
  * <p>Confined to the loop thread.
  */
 public interface Connection {
+  /** The reason given to {@link ConnectionListener#closed} where the peer closed in good order. */
+  String CLOSED_BY_PEER = "closed by the other side";
+
   /**
    * Reserves space for the next bytes of the stream.
    *
--- a/src/main/java/sprucerock/transport/net/nio/NioConnection.java
+++ b/src/main/java/sprucerock/transport/net/nio/NioConnection.java
@@ -154,7 +154,7 @@
             return;
           }
           if (count < 0) {
-            cut("closed by the other side");
+            cut(CLOSED_BY_PEER);
             return;
           }
           if (unlessReceived) {
