--- a/src/test/java/sprucerock/relay/platform/ClientCrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/ClientCrossingsTest.java
@@ -48,6 +48,9 @@
   private static final Pattern TOLD = Pattern.compile(",d=(\\d+)");
   private static final int TIME = 25_000;
 
+  /** More than a turn of the loop runs. */
+  private static final int TASKS_OF_A_TURN = 1024;
+
   /** How a client goes. */
   private enum Close {
     CLOSE,
@@ -153,7 +156,8 @@
    * The loop's thread stands still within a turn, whose clock stands still too: what comes
    * meanwhile is met in that turn.
    */
-  private CountDownLatch hold() throws InterruptedException {
+  private CountDownLatch hold() throws Exception {
+    awaitReadsByLoop();
     CountDownLatch held = new CountDownLatch(1);
     CountDownLatch go = new CountDownLatch(1);
     loop.post(standsStill(held, go));
@@ -161,6 +165,26 @@
     return go;
   }
 
+  /**
+   * Until the loop has met all that its endpoints have sent by now, such as the answer to the empty
+   * query in front of a statement: it reads on only behind that, and nothing while it is held.
+   */
+  private void awaitReadsByLoop() throws Exception {
+    for (Peers.Unit endpoint : List.of(one, two)) {
+      for (Peers.Unit.Connection connection : List.copyOf(endpoint.connections)) {
+        if (connection.closed.getCount() > 0) {
+          Peers.read(connection.socket);
+        }
+      }
+    }
+    for (int i = 0; i < 2; i++) {
+      TimeUnit.MILLISECONDS.sleep(1); // between the system's read and its completion in the queue
+      CountDownLatch met = new CountDownLatch(1);
+      loop.post(met::countDown);
+      Peers.await(met, "the loop");
+    }
+  }
+
   /** The same at a turn's end: the next turn begins with the timers that came due meanwhile. */
   private CountDownLatch holdBetweenTurns() throws InterruptedException {
     CountDownLatch held = new CountDownLatch(1);
@@ -385,6 +409,28 @@
     assertEquals(times(id(text)), 0);
   }
 
+  /**
+   * Guards against a request that is sent on as a turn's last task, in front of its client's close.
+   */
+  @Test
+  public void aRequestIsTheLastTaskOfATurnBeforeItsClientsClose() throws Exception {
+    startsWithOne();
+    Peers.Client stays = client();
+    Peers.Client gone = client();
+    kept();
+    String text = look();
+    CountDownLatch go = hold();
+    gone.asks(text);
+    Peers.read(gone.socket);
+    goes(gone, Close.CLOSE);
+    for (int i = 0; i < TASKS_OF_A_TURN; i++) {
+      loop.post(() -> {});
+    }
+    go.countDown();
+    anotherIsServed(stays);
+    assertEquals(times(id(text)), 0);
+  }
+
   /**
    * The same while a build is on trial, until a request would have had a copy: neither leaves,
    * though what is compared is never cancelled.
--- a/src/test/java/sprucerock/relay/platform/ServeProcess.java
+++ b/src/test/java/sprucerock/relay/platform/ServeProcess.java
@@ -17,7 +17,7 @@
 import java.util.regex.Pattern;
 
 /** A relay as its own process, run by {@code serve}, whose log is read. */
-final class ServeProcess {
+public final class ServeProcess {
   private static final Pattern STARTED = Pattern.compile(" STARTED .* listens at \\S*:([0-9]+), ");
 
   private final Process process;
@@ -38,7 +38,7 @@
    * @param port where it listens; 0: the system chooses one
    * @param options of its virtual machine
    */
-  static ServeProcess start(Path config, int port, String... options) throws IOException {
+  public static ServeProcess start(Path config, int port, String... options) throws IOException {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
@@ -52,14 +52,14 @@
   }
 
   /** Waits until it takes clients; the port at which it does. */
-  int awaitStarted() throws InterruptedException {
+  public int awaitStarted() throws InterruptedException {
     Matcher line = STARTED.matcher(awaitLog("STARTED"));
     assertTrue(line.find(), "its log does not say where it listens");
     return Integer.parseInt(line.group(1));
   }
 
   /** Waits for a line of its log that holds this text, and drops those before. */
-  String awaitLog(String text) throws InterruptedException {
+  public String awaitLog(String text) throws InterruptedException {
     String line = Peers.next(log, "in the log: " + text);
     while (!line.contains(text)) {
       line = Peers.next(log, "in the log: " + text);
@@ -67,26 +67,26 @@
     return line;
   }
 
-  void signal(String name) throws IOException, InterruptedException {
+  public void signal(String name) throws IOException, InterruptedException {
     String command = "kill -" + name + " " + process.pid();
     assertEquals(new ProcessBuilder("sh", "-c", command).start().waitFor(), 0);
   }
 
   /** Waits until it has ended; its exit code. */
-  int awaitExit() throws InterruptedException {
+  public int awaitExit() throws InterruptedException {
     assertTrue(process.waitFor(Peers.LONG, TimeUnit.SECONDS), "it does not end");
     return process.exitValue();
   }
 
-  boolean isAlive() {
+  public boolean isAlive() {
     return process.isAlive();
   }
 
-  long pid() {
+  public long pid() {
     return process.pid();
   }
 
-  void kill() {
+  public void kill() {
     process.destroyForcibly();
   }
 }
--- /dev/null
+++ b/src/test/java/sprucerock/testing/package-info.java
@@ -0,0 +1,2 @@
+/** What all tests share. */
+package sprucerock.testing;
