Take the answer to the empty query while the statement behind it is still leaving

Callers saw: requests with values of 64 KiB were refused (53300) or took another attempt, on connections that were in order. Cause: the empty query in front of a statement and the statement are one write only if they are small. With a value of 64 KiB the empty query leaves first, and its answer comes before the statement's last byte has left. PlatformEndpointConnection held that for something nobody had asked for, cut the connection, and counted the attempt as never sent. Change: until its answer has come, what counts is whether the empty query has left, not the statement. Why it works: an endpoint can't answer the empty query before that has left, and anything else in its place is no answer to it.

--- a/src/main/java/sprucerock/relay/platform/PlatformEndpointConnection.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformEndpointConnection.java
@@ -73,6 +73,10 @@
   private AttemptOutcome startFailed = AttemptOutcome.NOT_CONNECTED;
   private PgExchange exchange;
   private long mark;
+
+  /** Where the empty query in front of the statement ends. */
+  private long fenceMark;
+
   private byte[] column;
   private byte[] row;
 
@@ -147,6 +151,7 @@
    */
   private void writeStatement(PgExchange next, double waitMs) {
     at = hasAnswered ? At.FENCED : At.ASKED;
+    fenceMark = connection.bytesWritten() + EMPTY_QUERY.length;
     next.statement().writeQuery(connection, hasAnswered ? EMPTY_QUERY : NOTHING, waitMs);
   }
 
@@ -169,7 +174,7 @@
       if (in.isBlocked()) {
         connection.pauseReading(); // until there is room, or nobody waits for the answer any more
       }
-      if ((at == At.IDLE || at == At.SETTLING || unsent()) && in.isPartial()) {
+      if (isNothingAsked() && in.isPartial()) {
         throw new ProtocolException("something that was not asked for");
       }
       if ((at == At.SERVED || at == At.FAILED) && leaves == null) {
@@ -311,11 +316,20 @@
    * connection was chosen.
    */
   private void requireSent() throws ProtocolException {
-    if (unsent()) {
+    if (isNothingAsked()) {
       throw new ProtocolException("something that was not asked for");
     }
   }
 
+  /** Nothing that could be answered by now has left; a large statement leaves behind its fence. */
+  private boolean isNothingAsked() {
+    return switch (at) {
+      case IDLE, SETTLING -> true;
+      case FENCED, FENCE_ANSWERED -> connection.bytesHandedOver() < fenceMark;
+      default -> unsent();
+    };
+  }
+
   private static void expect(char type, char wanted) throws ProtocolException {
     if (type != wanted) {
       throw new ProtocolException("a message of type " + type + " where " + wanted + " belongs");
--- a/src/test/java/sprucerock/relay/platform/ServeMemoryTest.java
+++ b/src/test/java/sprucerock/relay/platform/ServeMemoryTest.java
@@ -14,6 +14,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -45,6 +46,11 @@
   private static final String NOT_SENT = "not sent";
 
   private static final int LARGEST_VALUE_BYTES = 64 * 1024;
+  private static final int LARGE_STATEMENTS = 30;
+  private static final int LARGE_STATEMENTS_AT_ONCE = 10;
+
+  /** A connection is used again after some silence. */
+  private static final int UNTIL_IDLE_MS = 30;
 
   private Peers peers;
   private Peers.Unit endpoint;
@@ -199,6 +205,23 @@
     assertServesOn();
   }
 
+  /** Guards against an answer to the empty query that comes before a large statement has left. */
+  @Test
+  public void largeStatementsOnAUsedConnectionAreNotTakenForSpoilt() throws Exception {
+    endpointAnswers(10);
+    for (int i = 0; i < LARGE_STATEMENTS; i++) {
+      List<byte[]> commands = new ArrayList<>();
+      for (int n = 0; n < LARGE_STATEMENTS_AT_ONCE; n++) {
+        commands.add(insert(LARGEST_VALUE_BYTES));
+      }
+      assertEquals(Set.copyOf(sendAll(commands)), Set.of("value vvvvvvvvvv"));
+      TimeUnit.MILLISECONDS.sleep(UNTIL_IDLE_MS);
+    }
+    assertEquals(
+        relay.unreadLog().stream().filter(line -> line.contains("PLATFORM_UNREADABLE")).toList(),
+        List.of());
+  }
+
   /** Guards against large answers of many units that fill the heap. */
   @Test
   public void theLargestAnswersToManyClientsAreServed() throws Exception {
--- a/src/test/java/sprucerock/relay/platform/ServeProcess.java
+++ b/src/test/java/sprucerock/relay/platform/ServeProcess.java
@@ -67,6 +67,11 @@
     return line;
   }
 
+  /** The lines of its log that nobody waited for. */
+  public List<String> unreadLog() {
+    return List.copyOf(log);
+  }
+
   public void signal(String name) throws IOException, InterruptedException {
     String command = "kill -" + name + " " + process.pid();
     assertEquals(new ProcessBuilder("sh", "-c", command).start().waitFor(), 0);
