End the input before a close between two requests, so that nothing read goes unanswered

Cause: a connection between two requests has a read in flight on the channels' thread. The loop closed once nothing waited in its queue, but that thread may have taken bytes and not yet handed them over. The client tells the cases apart: behind an end in good order a byte is taken where all had been read, and fails where something was unread. Change: NioConnection shuts the input down and waits for the read in flight: with bytes the closing is taken back and the listener hears inputEnded behind them; with an end it closes. A request that was read in part is refused. Should the system tell nothing within 100 ms it closes as before. Why it works: the one read in flight ends exactly once, and behind the shutdown no other can begin.

--- a/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
@@ -85,6 +85,9 @@
   private Timestamp lastReceivedAt;
   private Timestamp quietSince;
 
+  /** Nothing more can be read. */
+  private boolean hasInputEnded;
+
   /** Ends the wait for memory; null while it does not wait. */
   private Timer memoryTimer;
 
@@ -143,6 +146,26 @@
     }
   }
 
+  @Override
+  public void inputEnded() {
+    hasInputEnded = true;
+    if (framer.isPartial()) {
+      // no more of it can be read: it is answered in its turn, as it was never sent on
+      discardPartialMessage();
+      enqueue(Command.REFUSED);
+    }
+    processNext();
+    finishOnceAnswered();
+  }
+
+  /** Closes a connection on which nothing more can be read. */
+  private void finishOnceAnswered() {
+    if (hasInputEnded && wantsMore() && open == null && waiting.isEmpty()) {
+      state = State.ENDING;
+      connection.finish();
+    }
+  }
+
   private void notePartialMessage() {
     if (!framer.isPartial() || framer.isBlocked()) {
       partialSince = null; // or it is this relay that does not read on
@@ -397,7 +420,9 @@
     }
     connection.append(MessageWriter.readyForQuery());
     quietSince = owner.now();
-    if (isLeaving) {
+    if (hasInputEnded) {
+      owner.atTurnsEnd(this::finishOnceAnswered);
+    } else if (isLeaving) {
       closeOnceIdle();
     }
   }
@@ -491,6 +516,10 @@
    * read is served first.
    */
   private void closeIfIdle() {
+    if (hasInputEnded) {
+      finishOnceAnswered();
+      return;
+    }
     state = State.CLOSING_IF_IDLE;
     connection.finishUnlessReceived();
   }
--- a/src/main/java/sprucerock/transport/net/Connection.java
+++ b/src/main/java/sprucerock/transport/net/Connection.java
@@ -71,7 +71,8 @@
 
   /**
    * The same as {@link #finish} for a connection without a pending request, but bytes that arrive
-   * before it is closed are passed on as ever and cancel the closing. Guards against a close that
+   * before it is closed are passed on as ever and cancel the closing; {@link
+   * ConnectionListener#inputEnded} may follow them. Guards against a close that
    * crosses a request: a request that was read can't be repeated elsewhere.
    */
   default void finishUnlessReceived() {
--- a/src/main/java/sprucerock/transport/net/ConnectionListener.java
+++ b/src/main/java/sprucerock/transport/net/ConnectionListener.java
@@ -14,6 +14,12 @@
    */
   void received(ByteBuffer bytes);
 
+  /**
+   * Nothing can be read any more, as {@link Connection#finishUnlessReceived} crossed the bytes that
+   * were just passed on: once these are answered the connection is to be finished.
+   */
+  default void inputEnded() {}
+
   /**
    * The connection is closed, or was never established. Called exactly once, and nothing is called
    * after it.
--- a/src/main/java/sprucerock/transport/net/nio/NioConnection.java
+++ b/src/main/java/sprucerock/transport/net/nio/NioConnection.java
@@ -35,6 +35,9 @@
   /** Periods for a peer that takes a few bytes in each. */
   private static final int MAX_FINISH_PERIODS = 5;
 
+  /** For the read in flight to end once the input is shut down; the system tells it at once. */
+  private static final TimeSpan INPUT_END_PERIOD = TimeSpan.ofMs(100);
+
   private final NioLoop loop;
   private final AsynchronousSocketChannel channel;
   private final long maxUnsentBytes;
@@ -68,6 +71,10 @@
 
   private boolean finishing;
   private boolean unlessReceived;
+
+  /** The system passes on what it has and then an end, whatever the peer sends. */
+  private boolean inputShutDown;
+
   private Timer finishTimer;
   private boolean closed;
   private Runnable onClosed = () -> {};
@@ -154,7 +161,7 @@
             return;
           }
           if (count < 0) {
-            cut(CLOSED_BY_PEER);
+            cut(inputShutDown ? "done" : CLOSED_BY_PEER);
             return;
           }
           if (unlessReceived) {
@@ -201,7 +208,7 @@
     if (closed) {
       releaseReadBuffer();
     } else if (!pausedMeanwhile) {
-      read();
+      readOn();
     } else {
       holdsUnread = true;
       if (!readingPaused) {
@@ -236,6 +243,14 @@
     passOn();
   }
 
+  private void readOn() {
+    if (inputShutDown) {
+      listener.inputEnded();
+    } else {
+      read();
+    }
+  }
+
   private void read() {
     readBuffer.clear();
     reading = true;
@@ -454,13 +469,26 @@
   }
 
   /**
-   * Closes unless bytes arrived since. All that was read has been passed on by now, but for what
-   * the channels' thread reads in this very moment.
+   * Closes unless bytes arrived since. A read is in flight, and the channels' thread may have taken
+   * bytes for it in this very moment: it is ended first, and tells which.
    */
   private void closeUnlessReceived() {
-    if (finishing && unlessReceived && unsent.isEmpty() && inFlight.isEmpty()) {
+    if (!finishing || !unlessReceived || !unsent.isEmpty() || !inFlight.isEmpty()) {
+      return;
+    }
+    if (!reading) {
       cut("done");
+      return;
     }
+    try {
+      channel.shutdownInput();
+      inputShutDown = true;
+    } catch (IOException e) {
+      cut("done");
+      return;
+    }
+    finishTimer.cancel();
+    finishTimer = loop.at(loop.now().plus(INPUT_END_PERIOD), () -> cut("done"));
   }
 
   @Override
