Refuse an id that was sent on before: it ran twice once its client had left

Callers saw: a client asked, left, and came again with the same id; endpoints got the id twice, also for a method that must not run twice. Cause: ids were known only while their request was open. Once a client left, its id was free, though its attempt may have run or may yet. An id that was refused before anything was sent on may come again, as may one whose connection closed before it was read.

--- a/src/main/java/sprucerock/relay/platform/ClientListener.java
+++ b/src/main/java/sprucerock/relay/platform/ClientListener.java
@@ -47,6 +47,7 @@
   private final int most;
   private final Set<PlatformClientConnection> connections = new LinkedHashSet<>();
   private final Map<String, PlatformRequest> open = new HashMap<>();
+  private final RecentIds sentOn;
   private Net.Listener listener;
   private boolean leaving;
   private boolean refusing;
@@ -54,7 +55,7 @@
   /**
    * {@code enough}: beyond it quiet ones give way, so that clients with a bound of their own can
    * come; {@code most} is never passed. {@code commandBudget}: what all clients' commands may hold;
-   * {@code answerBudget}: the same for their answers.
+   * {@code answerBudget}: the same for their answers; {@code seed} of the fingerprints of ids.
    */
   ClientListener(
       Net net,
@@ -64,7 +65,8 @@
       BufferBudget commandBudget,
       BufferBudget answerBudget,
       int enough,
-      int most) {
+      int most,
+      long seed) {
     this.net = net;
     this.events = events;
     this.owner = owner;
@@ -73,6 +75,7 @@
     this.answerBudget = answerBudget;
     this.enough = enough;
     this.most = most;
+    sentOn = new RecentIds(seed);
   }
 
   void start(InetSocketAddress at) throws IOException {
@@ -199,12 +202,20 @@
 
   /** Null where it may be asked; else why not. */
   String open(PlatformRequest asked) {
+    if (sentOn.contains(asked.statement.id)) {
+      return "a request of the same id was sent on before";
+    }
     if (open.putIfAbsent(asked.statement.id, asked) == null) {
       return null;
     }
     return "a request of the same id is open";
   }
 
+  /** An attempt of a request is about to be sent. */
+  void sentOn(PlatformRequest asked) {
+    sentOn.add(asked.statement.id);
+  }
+
   void closeRequest(PlatformRequest asked) {
     open.remove(asked.statement.id, asked);
   }
--- a/src/main/java/sprucerock/relay/platform/PlatformRelay.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformRelay.java
@@ -115,7 +115,8 @@
             commandBudget,
             answerBudget,
             (int) (config.sockets * ENOUGH),
-            forClients);
+            forClients,
+            config.seed);
     endpoints =
         new PlatformConnectionPools(
             net,
@@ -371,6 +372,7 @@
 
   @Override
   protected boolean abandon(AttemptExchange exchange, boolean told) {
+    clients.sentOn((PlatformRequest) exchange.attempt().rpc.attachment);
     return ((PlatformConnectionPool) exchange.attempt().endpoint.attachment)
         .giveUp((PgExchange) exchange);
   }
--- a/src/test/java/sprucerock/relay/platform/ClientDoorTest.java
+++ b/src/test/java/sprucerock/relay/platform/ClientDoorTest.java
@@ -108,7 +108,8 @@
             new BufferBudget(net, MemoryLimit.none(), TimeSpan.ZERO),
             new BufferBudget(net, MemoryLimit.none(), TimeSpan.ZERO),
             ENOUGH,
-            PLACES);
+            PLACES,
+            1);
     door.start(new InetSocketAddress("127.0.0.1", 100));
   }
 
--- a/src/test/java/sprucerock/relay/platform/ClientMemoryTest.java
+++ b/src/test/java/sprucerock/relay/platform/ClientMemoryTest.java
@@ -80,7 +80,8 @@
             new BufferBudget(net, limit, TimeSpan.ofMs(100)),
             new BufferBudget(net, MemoryLimit.none(), TimeSpan.ZERO),
             MAX_CLIENTS,
-            MAX_CLIENTS);
+            MAX_CLIENTS,
+            1);
     listener.start(ADDRESS);
     listener.take();
   }
--- a/src/test/java/sprucerock/relay/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/CrossingsTest.java
@@ -608,7 +608,8 @@
                   new BufferBudget(loop, MemoryLimit.none(), TimeSpan.ZERO),
                   new BufferBudget(loop, MemoryLimit.none(), TimeSpan.ZERO),
                   10,
-                  10);
+                  10,
+                  1);
           try {
             door[0].start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
           } catch (IOException e) {
