Accept what has come before other tasks, and end a turn's tasks after 10 ms

Cause: one connection is accepted at a time, and its completion waits behind all tasks that are there: one connection a round of all others, while each round has up to 512 tasks of some thirty statements each. What comes waits in the system's queue longer than its time. Evidence: AcceptTest: of 40 connections that had come 1 is accepted behind 1,500 of 4,000 tasks. Change: NioLoop.accept takes connections that have come up to 64 a turn before other tasks. A turn's tasks end after 10 ms, or 512 as before, so that timers, writes and accepts get their turn whatever a task costs. Why it works: accepting costs little beside what a client may send, and the number of connections is bounded elsewhere. Result: AcceptTest: 40 of 40.

--- a/src/main/java/sprucerock/transport/net/nio/NioListener.java
+++ b/src/main/java/sprucerock/transport/net/nio/NioListener.java
@@ -40,7 +40,7 @@
   @Override
   public void completed(AsynchronousSocketChannel channel, Void none) {
     if (server.isOpen()) {
-      server.accept(null, this);
+      loop.accept(server, this);
     }
     if (openConnections >= maxConnections) {
       try {
@@ -69,14 +69,14 @@
         loop.now().plus(ACCEPT_RETRY_PAUSE),
         () -> {
           if (server.isOpen()) {
-            server.accept(null, this);
+            loop.accept(server, this);
           }
         });
   }
 
   @Override
   public void startAccepting() {
-    server.accept(null, this);
+    loop.accept(server, this);
   }
 
   @Override
--- a/src/main/java/sprucerock/transport/net/nio/NioLoop.java
+++ b/src/main/java/sprucerock/transport/net/nio/NioLoop.java
@@ -6,6 +6,7 @@
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -67,10 +68,23 @@
   /** Not more than a turn's worth: timers and writes must get their turn under any load. */
   private static final int MAX_TASKS_PER_TURN = 512;
 
+  private static final int MAX_ACCEPTS_PER_TURN = 64;
+
+  /** Of tasks: a request takes some turns, each of which waits for the turn before it. */
+  private static final TimeSpan MAX_TURN = TimeSpan.ofMs(10);
+
+  private static final int TASKS_PER_CLOCK = 16;
+
   /** A loop that is never idle closes what is to be closed all the same. */
   private static final TimeSpan MAX_QUIET_WAIT = TimeSpan.ofMs(100);
 
   private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+
+  /** Completions of connections that had come as the next one was asked for. */
+  private final ArrayDeque<Runnable> accepted = new ArrayDeque<>();
+
+  private boolean accepting;
+  private long completionsOnLoop;
   private final AtomicBoolean sleeping = new AtomicBoolean();
   private final TimerWheel timers = new TimerWheel();
   private final ArrayDeque<Runnable> turnEnd = new ArrayDeque<>();
@@ -123,9 +137,19 @@
   private final class CompletionExecutor extends AbstractExecutorService {
     private volatile boolean shut;
 
+    /** On the loop's thread: the operation found something at once, and need not wait. */
     @Override
     public void execute(Runnable task) {
-      post(task);
+      if (Thread.currentThread() != thread) {
+        post(task);
+        return;
+      }
+      completionsOnLoop++;
+      if (accepting) {
+        accepted.add(task);
+      } else {
+        tasks.add(task);
+      }
     }
 
     @Override
@@ -179,22 +203,49 @@
       if (!whenQuiet.isEmpty() && (tasks.isEmpty() || now.after(quietDeadline))) {
         runWhenQuiet();
       }
-      if (tasks.isEmpty()) {
+      if (tasks.isEmpty() && accepted.isEmpty()) {
         sleep();
       }
     }
   }
 
   private void runTasks() {
+    for (int i = 0; i < MAX_ACCEPTS_PER_TURN && !accepted.isEmpty(); i++) {
+      guarded(accepted.poll());
+    }
+    Timestamp end = now.plus(MAX_TURN);
     for (int i = 0; i < MAX_TASKS_PER_TURN; i++) {
       Runnable task = tasks.poll();
       if (task == null) {
         return;
       }
       guarded(task);
+      if (i % TASKS_PER_CLOCK == TASKS_PER_CLOCK - 1 && readClock().after(end)) {
+        return;
+      }
     }
   }
 
+  /**
+   * Accepts the next connection. One that has come already is taken up before other tasks: guards
+   * against clients that wait to be accepted while those that are cost all of the time.
+   */
+  void accept(
+      AsynchronousServerSocketChannel server,
+      CompletionHandler<AsynchronousSocketChannel, Void> handler) {
+    accepting = true;
+    try {
+      server.accept(null, handler);
+    } finally {
+      accepting = false;
+    }
+  }
+
+  /** How many operations have found something at once, since the start. */
+  long completionsOnLoop() {
+    return completionsOnLoop;
+  }
+
   private void runWhenQuiet() {
     List<Runnable> due = new ArrayList<>(whenQuiet);
     whenQuiet.clear();
