Count what waiting answers hold, and hold back a client that has not taken its own

Cause: what waits for clients was bounded by its bytes, a quarter of the heap. Each answer's piece was a buffer object of its own: 11 bytes of an empty query's answer held 120. Nothing tied what is read from a client to what it has taken: a read of 16 KiB has some thirty short commands with padding, which make sixty pieces, and a write takes sixteen. So a client at full speed grows its backlog each turn, up to half a megabyte by its bytes and five and more in the heap. Evidence: 60 clients that send blank queries of 520 to 1,220 bytes end the process within 8 s (exit code 3, "Java heap space"); 681,920 HeapByteBuffer (38.2 of 46 MB) after the last full collection. The evidence's log has the same statements, with `;` behind, directly before an end. Change: pieces of up to 512 bytes are copied together, and what buffers hold of the heap is counted, objects included. Beyond 32 KiB that a client has not taken none of its commands is taken up and it is not read. A request begins at the turn's end. Why it works: a connection's backlog is bounded before it is made, whatever its commands are, and the sum counts what the heap holds.

--- a/src/main/java/sprucerock/relay/platform/ClientListener.java
+++ b/src/main/java/sprucerock/relay/platform/ClientListener.java
@@ -183,8 +183,8 @@
     return net.stallTolerantTimeout(time, action);
   }
 
-  void after(TimeSpan time, Runnable action) {
-    net.at(net.now().plus(time), action);
+  Timer after(TimeSpan time, Runnable action) {
+    return net.at(net.now().plus(time), action);
   }
 
   BufferBudget.Account openAccount(BufferBudget.Holder holder) {
@@ -295,8 +295,8 @@
     return refusing;
   }
 
-  /** The relay's time is over: what is open gets an answer that promises nothing. */
+  /** Those that have begun: at the end of the relay's time they get an answer without a promise. */
   List<PlatformRequest> openRequests() {
-    return new ArrayList<>(open.values());
+    return open.values().stream().filter(request -> request.requestId() != 0).toList();
   }
 }
--- a/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
@@ -39,6 +39,9 @@
 
   private static final int MAX_LINGERS = 8;
 
+  /** Of answers that the client has not taken: beyond it no further command is taken up. */
+  private static final int MAX_UNSENT_BYTES = 32 * 1024;
+
   private static final byte[] WELCOME = MessageWriter.sessionStart();
   private static final byte[] NO_ENCRYPTION = {'N'};
 
@@ -72,6 +75,11 @@
   private final MessageFramer framer;
   private final ArrayDeque<Command> waiting = new ArrayDeque<>();
   private final Timestamp acceptedAt;
+  private final UnservedCommandLimiter unserved;
+
+  /** Runs out when commands that make no request may be taken up again; null while they may. */
+  private Timer unservedTimer;
+
   private Connection connection;
   private boolean started;
   private boolean hasAsked;
@@ -80,6 +88,9 @@
   /** It is to close between two commands. */
   private boolean isLeaving;
 
+  /** Read, and not begun yet: it begins once all that came of its client is read. */
+  private PlatformRequest next;
+
   private PlatformRequest open;
   private Timestamp partialSince;
   private Timestamp lastReceivedAt;
@@ -104,6 +115,7 @@
     account = owner.openAccount(this);
     framer = MessageFramer.fromClient(MAX_COMMAND_BYTES, account::tryHold);
     acceptedAt = now;
+    unserved = new UnservedCommandLimiter(now);
     lastReceivedAt = now;
     quietSince = now;
   }
@@ -141,6 +153,11 @@
         closeOnceIdle();
       }
       updateMemoryWait();
+      if (isHeldBack()) {
+        pauseWhileHeldBack();
+      } else {
+        beginOnceCaughtUp();
+      }
     } catch (ProtocolException e) {
       end(RefusalReason.UNREADABLE_MESSAGE, "08P01", e.getMessage());
     }
@@ -160,7 +177,7 @@
 
   /** Closes a connection on which nothing more can be read. */
   private void finishOnceAnswered() {
-    if (hasInputEnded && wantsMore() && open == null && waiting.isEmpty()) {
+    if (hasInputEnded && wantsMore() && hasNothingToAnswer()) {
       state = State.ENDING;
       connection.finish();
     }
@@ -207,7 +224,8 @@
   }
 
   private void refuseWaitingCommands() {
-    int count = waiting.size();
+    int count = waiting.size() + (next == null ? 0 : 1);
+    discardNext();
     releaseWaitingCommands();
     waiting.addAll(Collections.nCopies(count, Command.REFUSED));
   }
@@ -224,6 +242,77 @@
     }
   }
 
+  // Clients that send faster than they are answered.
+
+  /** Whether no command is taken up, and nothing read, until the client has caught up. */
+  private boolean isHeldBack() {
+    return unservedTimer != null
+        || connection.unsentBytes() > MAX_UNSENT_BYTES
+        || unserved.isExceeded(owner.now());
+  }
+
+  private void pauseWhileHeldBack() {
+    partialSince = null; // it is this relay that does not read on
+    connection.pauseReading();
+    if (unservedTimer == null && unserved.isExceeded(owner.now())) {
+      unservedTimer =
+          owner.after(
+              unserved.delay(),
+              () -> {
+                unservedTimer = null;
+                goOn();
+              });
+    }
+  }
+
+  @Override
+  public void allSent() {
+    if (wantsMore() && unservedTimer == null) {
+      goOn();
+    }
+  }
+
+  /**
+   * Takes up what waits, and reads on unless the client is held back again or memory is awaited.
+   */
+  private void goOn() {
+    if (!wantsMore()) {
+      return;
+    }
+    processNext();
+    if (!wantsMore()) {
+      return;
+    }
+    if (isHeldBack()) {
+      pauseWhileHeldBack();
+    } else if (!framer.isBlocked()) {
+      connection.resumeReading();
+    }
+  }
+
+  /** At the turn's end: what the system has already is read by then. */
+  private void beginOnceCaughtUp() {
+    if (next != null) {
+      owner.atTurnsEnd(this::beginNext);
+    }
+  }
+
+  private void beginNext() {
+    if (next == null || !isOpen()) {
+      return; // what is read next calls again
+    }
+    open = next;
+    next = null;
+    owner.requestArrived(open);
+  }
+
+  private void discardNext() {
+    if (next != null) {
+      next.withdraw();
+      next = null;
+    }
+  }
+
   // Memory.
 
   /** Stops reading while the next command has to wait for room; reads on once it has. */
@@ -248,7 +337,9 @@
 
   @Override
   public void roomAvailable() {
-    connection.resumeReading();
+    if (!isHeldBack()) {
+      connection.resumeReading();
+    }
   }
 
   @Override
@@ -269,7 +360,9 @@
     releasePartialMemory();
     framer.skip();
     partialSince = owner.now();
-    connection.resumeReading();
+    if (!isHeldBack()) {
+      connection.resumeReading();
+    }
     String reason = why + "; trying again is harmless";
     if (started) {
       refuseOnceSilent(reason);
@@ -302,7 +395,7 @@
 
   /** Once what was taken before has its answer, which the error would be mistaken for. */
   private void endIfRefused() {
-    if (refusal != null && isOpen() && open == null && waiting.isEmpty()) {
+    if (refusal != null && isOpen() && hasNothingToAnswer()) {
       end(refusal.reason, refusal.sqlState, refusal.text);
     }
   }
@@ -330,12 +423,21 @@
 
   /** Takes up what waits, unless a command is being answered. */
   private void processWaiting() throws ProtocolException {
-    while (isOpen() && open == null && !waiting.isEmpty()) {
+    while (isOpen() && open == null && next == null && !waiting.isEmpty() && mayProcess()) {
       process(waiting.poll());
     }
     endIfRefused();
   }
 
+  /** Once it is to be ended what waits has its answer at once. */
+  private boolean mayProcess() {
+    return refusal != null || hasInputEnded || !isHeldBack();
+  }
+
+  private boolean hasNothingToAnswer() {
+    return open == null && next == null && waiting.isEmpty();
+  }
+
   private void process(Command command) throws ProtocolException {
     if (command.isRefused()) {
       hasAsked = true;
@@ -373,25 +475,25 @@
       account.release(body.length);
       return;
     }
-    open = request;
-    owner.requestArrived(request);
+    next = request;
+    beginOnceCaughtUp();
   }
 
   /** The request that a query makes; null if it is answered at once. */
   private PlatformRequest openRequest(byte[] body, int length) {
     if (isBlank(body, length)) {
+      unserved.count(owner.now());
       answered(MessageWriter.emptyQueryResponse());
       return null;
     }
     if (owner.isRefusing()) {
-      answered(
-          MessageWriter.errorResponse(
-              "ERROR", "57P03", "the relay is ending; trying again is harmless", null));
+      answered(refusalAtTheEnd());
       return null;
     }
     String error;
     try {
-      PlatformRequest request = new PlatformRequest(this, owner.parse(body, length), body.length);
+      PlatformRequest request =
+          new PlatformRequest(this, owner.parse(body, length), owner.now(), body.length);
       error = owner.open(request);
       if (error == null) {
         return request;
@@ -399,11 +501,17 @@
     } catch (Statement.UnreadableException e) {
       error = e.getMessage();
     }
+    unserved.count(owner.now());
     owner.logRefusal(RefusalReason.UNREADABLE_STATEMENT, error);
     answered(MessageWriter.errorResponse("ERROR", "42601", error, null));
     return null;
   }
 
+  private static byte[] refusalAtTheEnd() {
+    return MessageWriter.errorResponse(
+        "ERROR", "57P03", "the relay is ending; trying again is harmless", null);
+  }
+
   private static boolean isBlank(byte[] text, int length) {
     for (int i = 0; i < length; i++) {
       byte b = text[i];
@@ -525,6 +633,11 @@
   }
 
   private void abandonOpenRequest() {
+    discardNext();
+    if (unservedTimer != null) {
+      unservedTimer.cancel();
+      unservedTimer = null;
+    }
     if (open == null) {
       return;
     }
@@ -550,9 +663,8 @@
   /** Nothing is being asked on it, and nothing has been for so long. */
   boolean isQuietFor(TimeSpan time) {
     return wantsMore()
-        && open == null
+        && hasNothingToAnswer()
         && !framer.isPartial()
-        && waiting.isEmpty()
         && !time.over(owner.now().since(quietSince));
   }
 
@@ -578,7 +690,11 @@
    */
   void closeNow() {
     isLeaving = true;
-    if (wantsMore() && open == null && waiting.isEmpty()) {
+    if (next != null) {
+      discardNext();
+      answered(refusalAtTheEnd());
+    }
+    if (wantsMore() && hasNothingToAnswer()) {
       closeIfIdle();
     }
   }
@@ -600,7 +716,7 @@
    */
   void checkSilence(TimeSpan limit) {
     Timestamp heardUpTo = owner.heardUpTo();
-    if (!hasAsked && open == null && heardUpTo.since(acceptedAt).over(limit)) {
+    if (!hasAsked && heardUpTo.since(acceptedAt).over(limit)) {
       end(RefusalReason.SILENT, "08P01", "nothing was asked for " + limit.ms() + " ms");
     } else if (partialSince != null && heardUpTo.since(partialSince).over(limit)) {
       end(
--- a/src/main/java/sprucerock/relay/platform/PlatformRelay.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformRelay.java
@@ -344,7 +344,12 @@
   public void arrived(PlatformRequest asked) {
     Statement said = asked.statement;
     requestArrived(
-        asked, said.method, 0, said.key, net.now().plus(TimeSpan.ofMs(said.deadlineMs)), null);
+        asked,
+        said.method,
+        0,
+        said.key,
+        asked.readAt.plus(TimeSpan.ofMs(said.deadlineMs)).laterOf(net.now()),
+        null);
   }
 
   @Override
@@ -367,12 +372,12 @@
 
   @Override
   protected void sendToEndpoint(AttemptExchange exchange) {
+    clients.sentOn((PlatformRequest) exchange.attempt().rpc.attachment);
     ((PlatformConnectionPool) exchange.attempt().endpoint.attachment).send((PgExchange) exchange);
   }
 
   @Override
   protected boolean abandon(AttemptExchange exchange, boolean told) {
-    clients.sentOn((PlatformRequest) exchange.attempt().rpc.attachment);
     return ((PlatformConnectionPool) exchange.attempt().endpoint.attachment)
         .giveUp((PgExchange) exchange);
   }
--- a/src/main/java/sprucerock/transport/net/Connection.java
+++ b/src/main/java/sprucerock/transport/net/Connection.java
@@ -23,7 +23,7 @@
   ByteBuffer reserve(int bytes);
 
   /**
-   * Writes bytes without copying them.
+   * Writes bytes, large ones without copying them.
    *
    * @param bytes must not change any more
    */
@@ -72,8 +72,8 @@
   /**
    * The same as {@link #finish} for a connection without a pending request, but bytes that arrive
    * before it is closed are passed on as ever and cancel the closing; {@link
-   * ConnectionListener#inputEnded} may follow them. Guards against a close that
-   * crosses a request: a request that was read can't be repeated elsewhere.
+   * ConnectionListener#inputEnded} may follow them. Guards against a close that crosses a request:
+   * a request that was read can't be repeated elsewhere.
    */
   default void finishUnlessReceived() {
     finish();
--- a/src/main/java/sprucerock/transport/net/ConnectionListener.java
+++ b/src/main/java/sprucerock/transport/net/ConnectionListener.java
@@ -14,6 +14,9 @@
    */
   void received(ByteBuffer bytes);
 
+  /** The system has taken all that was written. */
+  default void allSent() {}
+
   /**
    * Nothing can be read any more, as {@link Connection#finishUnlessReceived} crossed the bytes that
    * were just passed on: once these are answered the connection is to be finished.
--- a/src/main/java/sprucerock/transport/net/Net.java
+++ b/src/main/java/sprucerock/transport/net/Net.java
@@ -58,7 +58,10 @@
    */
   Datagrams datagrams(InetSocketAddress address, Datagrams.Receiver receiver) throws IOException;
 
-  /** Bytes written on accepted connections that the system has not taken yet, in sum. */
+  /**
+   * What is written on accepted connections and the system has not taken yet, in sum: the memory
+   * that it holds, which for small pieces is more than their bytes.
+   */
   default long unsentOnAccepted() {
     return 0;
   }
--- a/src/main/java/sprucerock/transport/net/SimulatedNet.java
+++ b/src/main/java/sprucerock/transport/net/SimulatedNet.java
@@ -283,12 +283,19 @@
       byte[] bytes = out.toByteArray();
       if (bytes.length > 0) {
         events.add(() -> deliver(bytes));
+        events.add(this::notifyAllSent);
       }
       if (finishing) {
         cut("done");
       }
     }
 
+    private void notifyAllSent() {
+      if (!closed && unsent.isEmpty()) {
+        listener.allSent();
+      }
+    }
+
     private void deliver(byte[] bytes) {
       if (peer != null) {
         peer.unread.add(ByteBuffer.wrap(bytes));
--- a/src/main/java/sprucerock/transport/net/nio/NioConnection.java
+++ b/src/main/java/sprucerock/transport/net/nio/NioConnection.java
@@ -29,6 +29,15 @@
    */
   private static final int MAX_GATHERED_BYTES = 128 * 1024;
 
+  /** Up to this size bytes are copied: an object for each piece would hold more than the piece. */
+  private static final int MAX_COPIED_BYTES = 512;
+
+  private static final int MIN_TAIL_BYTES = 256;
+  private static final int MAX_TAIL_BYTES = 8 * 1024;
+
+  /** Of a buffer's object and its place in a queue. */
+  private static final int BUFFER_OBJECT_BYTES = 96;
+
   /** A peer that reads takes some bytes in far less; others are cut. */
   private static final TimeSpan FINISH_PERIOD = TimeSpan.ofMs(2000);
 
@@ -53,6 +62,11 @@
   private final ArrayDeque<ByteBuffer> inFlight = new ArrayDeque<>();
 
   private ByteBuffer tail; // the last unsent buffer, if more may be put into it
+  private int nextTailBytes = MIN_TAIL_BYTES;
+
+  /** What the buffers that wait hold of the heap, and the bytes in those of the pool. */
+  private long heldBytes;
+
   private ByteBuffer readBuffer;
   private long bytesWritten;
   private long bytesHandedOver;
@@ -264,10 +278,11 @@
     }
     if (tail == null || tail.remaining() < bytes) {
       tail = loop.borrowBuffer(bytes);
-      unsent.add(tail);
+      add(tail);
     }
     ByteBuffer reserved = tail.slice(tail.position(), bytes);
     tail.position(tail.position() + bytes);
+    countInTail(bytes);
     countWritten(bytes);
     return reserved;
   }
@@ -282,16 +297,56 @@
     if (closed) {
       return;
     }
-    tail = null;
-    ByteBuffer piece = ByteBuffer.wrap(bytes, offset, length).slice();
-    piece.position(length); // filled up to its position, as those reserved
-    unsent.add(piece);
+    if (length <= MAX_COPIED_BYTES) {
+      copyToTail(bytes, offset, length);
+    } else {
+      tail = null;
+      ByteBuffer piece = ByteBuffer.wrap(bytes, offset, length).slice();
+      piece.position(length); // filled up to its position, as those reserved
+      add(piece);
+    }
     countWritten(length);
   }
 
+  private void copyToTail(byte[] bytes, int offset, int length) {
+    if (tail == null || tail.remaining() < length) {
+      tail = ByteBuffer.allocate(Math.max(length, nextTailBytes));
+      nextTailBytes = Math.min(2 * nextTailBytes, MAX_TAIL_BYTES);
+      add(tail);
+    }
+    tail.put(bytes, offset, length);
+    countInTail(length);
+  }
+
+  private void add(ByteBuffer buffer) {
+    unsent.add(buffer);
+    if (!buffer.isDirect()) {
+      countHeld(buffer.capacity() + BUFFER_OBJECT_BYTES);
+    }
+  }
+
+  /** A buffer of the pool takes no heap, and counts by what is in it. */
+  private void countInTail(int bytes) {
+    if (tail.isDirect()) {
+      countHeld(bytes);
+    }
+  }
+
+  /** The system has taken all of it. */
+  private void release(ByteBuffer buffer) {
+    countHeld(-(buffer.isDirect() ? buffer.limit() : buffer.capacity() + BUFFER_OBJECT_BYTES));
+    loop.returnBuffer(buffer);
+  }
+
+  private void countHeld(long bytes) {
+    heldBytes += bytes;
+    if (accepted) {
+      loop.countUnsentOnAccepted(bytes);
+    }
+  }
+
   private void countWritten(int bytes) {
     bytesWritten += bytes;
-    countUnsent(bytes);
     if (bytesWritten - bytesSent > maxUnsentBytes) {
       cut("does not read: more than " + maxUnsentBytes + " bytes wait for it");
     } else if (accepted && isBehind() && loop.hasTooMuchUnsent()) {
@@ -305,12 +360,6 @@
     return writing && bytesHandedOver > bytesSent;
   }
 
-  private void countUnsent(long bytes) {
-    if (accepted) {
-      loop.countUnsentOnAccepted(bytes);
-    }
-  }
-
   private void scheduleFlush() {
     if (flushScheduled || closed) {
       return;
@@ -365,13 +414,17 @@
       return;
     }
     bytesSent += count;
-    countUnsent(-count);
     while (!inFlight.isEmpty() && !inFlight.peek().hasRemaining()) {
-      loop.returnBuffer(inFlight.poll());
+      release(inFlight.poll());
     }
-    if (!inFlight.isEmpty() || !unsent.isEmpty() || finishing) {
+    boolean isAllSent = inFlight.isEmpty() && unsent.isEmpty();
+    if (!isAllSent || finishing) {
       scheduleFlush();
     }
+    if (isAllSent) {
+      nextTailBytes = MIN_TAIL_BYTES;
+      listener.allSent();
+    }
   }
 
   private void writeFailed(Throwable why) {
@@ -445,7 +498,9 @@
         loop.at(
             loop.now().plus(FINISH_PERIOD),
             () -> {
-              if (bytesSent == sentBefore || periodsLeft == 1) {
+              if (unlessReceived && unsentBytes() == 0) {
+                scheduleFinish(bytesSent, periodsLeft); // it closes by itself
+              } else if (bytesSent == sentBefore || periodsLeft == 1) {
                 cut("not read to the end");
               } else {
                 scheduleFinish(bytesSent, periodsLeft - 1);
@@ -488,7 +543,15 @@
       return;
     }
     finishTimer.cancel();
-    finishTimer = loop.at(loop.now().plus(INPUT_END_PERIOD), () -> cut("done"));
+    finishTimer =
+        loop.at(loop.now().plus(INPUT_END_PERIOD), () -> loop.post(this::cutUnlessReceived));
+  }
+
+  /** Behind the completions that wait already: bytes may be among them. */
+  private void cutUnlessReceived() {
+    if (finishing && unlessReceived) {
+      cut("done");
+    }
   }
 
   @Override
@@ -511,7 +574,7 @@
       // the socket is gone either way, and the listener is notified below
       why = why + " (" + e.getMessage() + ")";
     }
-    countUnsent(bytesSent - bytesWritten);
+    countHeld(-heldBytes);
     tail = null;
     String reason = why;
     loop.post(
--- a/src/test/java/sprucerock/relay/platform/soak/AttemptRecord.java
+++ b/src/test/java/sprucerock/relay/platform/soak/AttemptRecord.java
@@ -27,6 +27,15 @@
     return times == null ? List.of() : List.copyOf(times);
   }
 
+  /** When the attempts of a request began, in ms since the first, for a report. */
+  String describe(String requestId) {
+    List<Long> times = of(requestId);
+    return times.stream()
+        .map(time -> (time - times.get(0)) / 1_000_000 + " ms")
+        .toList()
+        .toString();
+  }
+
   /** Ids that hold this text and reached endpoints more than once. */
   List<String> repeatedThatHold(String text) {
     List<String> repeated = new ArrayList<>();
--- a/src/test/java/sprucerock/relay/platform/soak/SoakMain.java
+++ b/src/test/java/sprucerock/relay/platform/soak/SoakMain.java
@@ -1,5 +1,7 @@
 package sprucerock.relay.platform.soak;
 
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -8,8 +10,9 @@
 
 /**
  * The soak by hand: {@code SoakMain FIRST_SEED LAST_SEED SECONDS [KIND,KIND... FLOODS]}; a line for
- * each seed. With kinds the bad clients are these alone, and so many of them. The environment
- * variable {@code SOAK_JAVA_OPTIONS} has further options of the relay's virtual machine.
+ * each seed, and the relay's log in {@code target/soak-SEED.log}. With kinds the bad clients are
+ * these alone, and so many of them. The environment variable {@code SOAK_JAVA_OPTIONS} has further
+ * options of the relay's virtual machine.
  */
 public final class SoakMain {
   private SoakMain() {}
@@ -34,6 +37,7 @@
         }
         SoakReport report = soak.run(options);
         System.out.println(report);
+        Files.write(Path.of("target", "soak-" + seed + ".log"), report.log());
         violated += report.isClean() ? 0 : 1;
       }
     }
--- a/src/test/java/sprucerock/relay/platform/soak/SoakReport.java
+++ b/src/test/java/sprucerock/relay/platform/soak/SoakReport.java
@@ -13,6 +13,7 @@
   private final SoakPlan plan;
   private final List<String> violations = new ArrayList<>();
   private final Map<RequestEnd.Kind, Integer> ends = new TreeMap<>();
+  private List<String> log = List.of();
   private int requests;
   private long peakMemoryKb;
   private int peakDescriptors;
@@ -40,6 +41,15 @@
     badSessions = count;
   }
 
+  /** The relay's log. */
+  void log(List<String> lines) {
+    log = lines;
+  }
+
+  List<String> log() {
+    return log;
+  }
+
   boolean isClean() {
     return violations.isEmpty();
   }
