Begin a request once all that its client sent is read, its close too

Cause: a request began as soon as its last byte was read. Where a turn was full, or the client was not read for want of memory or room, its close was still in the system, and was met in a later turn. Evidence: ClientCrossingsTest.aRequestIsTheLastTaskOfATurnBeforeItsClientsClose: with a turn's number of tasks between the read and the next one the request was sent on each time. Change: Connection.isCaughtUp says whether the read in flight found nothing; a request begins only then. Why it works: the channels read at once where there is something, so that a read that is in flight shows that the close had not come.

--- a/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
@@ -298,7 +298,7 @@
   }
 
   private void beginNext() {
-    if (next == null || !isOpen()) {
+    if (next == null || !isOpen() || !connection.isCaughtUp()) {
       return; // what is read next calls again
     }
     open = next;
--- a/src/main/java/sprucerock/transport/net/Connection.java
+++ b/src/main/java/sprucerock/transport/net/Connection.java
@@ -52,6 +52,14 @@
     return bytesWritten() - bytesHandedOver();
   }
 
+  /**
+   * Whether all that the system had of the peer, its close too, is passed on. Guards against acting
+   * on bytes whose sender has closed its connection long ago.
+   */
+  default boolean isCaughtUp() {
+    return true;
+  }
+
   /**
    * Reads no more until {@link #resumeReading}. Called within {@link ConnectionListener#received}
    * it has the bytes kept that the listener left there. A close by the peer goes unnoticed
--- a/src/main/java/sprucerock/transport/net/nio/NioConnection.java
+++ b/src/main/java/sprucerock/transport/net/nio/NioConnection.java
@@ -77,6 +77,9 @@
   private boolean reading;
   private boolean readingPaused;
 
+  /** The read in flight has found something at once, which is passed on in a later task. */
+  private boolean foundAtOnce;
+
   /** The listener paused, and maybe resumed, while it was passed bytes. */
   private boolean pausedMeanwhile;
 
@@ -268,7 +271,14 @@
   private void read() {
     readBuffer.clear();
     reading = true;
+    long before = loop.completionsOnLoop();
     channel.read(readBuffer, null, readHandler);
+    foundAtOnce = loop.completionsOnLoop() != before;
+  }
+
+  @Override
+  public boolean isCaughtUp() {
+    return inputShutDown || reading && !foundAtOnce;
   }
 
   @Override
