Count requests for encryption among the commands that make no request

Change: such a request counts in UnservedCommandLimiter, whose debt is bounded by one burst: of many at once those beyond it cost no further delay. Why it works: the client is not read until its next command is due, and is ended after 2 s without a query as before. ServeFloodTest.requestsForEncryptionDoNotFillTheHeap passes.

--- a/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
@@ -232,7 +232,10 @@
 
   private void startup(byte[] body) throws ProtocolException {
     switch (MessageReader.parseStartup(body)) {
-      case ENCRYPTION -> connection.append(NO_ENCRYPTION);
+      case ENCRYPTION -> {
+        unserved.count(owner.now());
+        connection.append(NO_ENCRYPTION);
+      }
       case CANCEL -> endSilently();
       default -> {
         started = true;
--- a/src/main/java/sprucerock/relay/platform/UnservedCommandLimiter.java
+++ b/src/main/java/sprucerock/relay/platform/UnservedCommandLimiter.java
@@ -5,8 +5,9 @@
 
 /**
  * Limits the rate of one client's commands that make no request: blank queries, and statements that
- * can't be read. Guards against a client that sends them at full speed, whose answers take the time
- * and the memory of all. A token bucket; confined to the loop thread.
+ * can't be read, and requests for encryption. Guards against a client that sends them at full
+ * speed, whose answers take the time and the memory of all. A token bucket; confined to the loop
+ * thread.
  */
 final class UnservedCommandLimiter {
   /** As many as may wait on one connection; usual clients send a blank query as they connect. */
@@ -21,10 +22,10 @@
     refilledAt = now;
   }
 
-  /** Counts a command. */
+  /** Counts a command; of many at once those beyond a second burst cost no further delay. */
   void count(Timestamp now) {
     refill(now);
-    tokens--;
+    tokens = Math.max(-MAX_TOKENS, tokens - 1);
   }
 
   /** Whether the client has to wait. */
--- a/src/main/java/sprucerock/transport/net/nio/NioConnection.java
+++ b/src/main/java/sprucerock/transport/net/nio/NioConnection.java
@@ -290,7 +290,7 @@
       tail = loop.borrowBuffer(bytes);
       add(tail);
     }
-    ByteBuffer reserved = tail.slice(tail.position(), bytes);
+    final ByteBuffer reserved = tail.slice(tail.position(), bytes);
     tail.position(tail.position() + bytes);
     countInTail(bytes);
     countWritten(bytes);
--- a/src/test/java/sprucerock/relay/platform/UnservedCommandLimiterTest.java
+++ b/src/test/java/sprucerock/relay/platform/UnservedCommandLimiterTest.java
@@ -34,4 +34,14 @@
     }
     assertTrue(limiter.isExceeded(later));
   }
+
+  @Test
+  public void manyAtOnceWaitNoLongerThanTwoBursts() {
+    Timestamp now = Timestamp.ofMs(1000);
+    UnservedCommandLimiter limiter = new UnservedCommandLimiter(now);
+    for (int i = 0; i < 100 * BURST; i++) {
+      limiter.count(now);
+    }
+    assertEquals(limiter.delay().ms(), 10.0 * BURST);
+  }
 }
--- a/src/test/java/sprucerock/relay/platform/soak/BadClient.java
+++ b/src/test/java/sprucerock/relay/platform/soak/BadClient.java
@@ -219,6 +219,14 @@
       session.sendUntilClosed(MessageWriter.query(text("")), FLOOD_MS);
     }
   },
+  /** Asks for encryption again and again, and never for a session. */
+  ENCRYPTION_REQUESTS {
+    @Override
+    void play(Session session) throws IOException {
+      byte[] request = ByteBuffer.allocate(8).putInt(8).putInt(80877103).array();
+      session.sendUntilClosed(repeat(request, 1000), FLOOD_MS);
+    }
+  },
   /** Connects and says nothing. */
   SAYS_NOTHING {
     @Override
--- a/src/test/java/sprucerock/relay/platform/soak/ServeFloodTest.java
+++ b/src/test/java/sprucerock/relay/platform/soak/ServeFloodTest.java
@@ -35,4 +35,10 @@
   public void statementsThatAreNotServedLeaveOthersAnswered() throws Exception {
     assertClean(BadClient.PADDED_STATEMENTS);
   }
+
+  /** Guards against answers to requests for encryption that fill the heap. */
+  @Test
+  public void requestsForEncryptionDoNotFillTheHeap() throws Exception {
+    assertClean(BadClient.ENCRYPTION_REQUESTS);
+  }
 }
