Send signals in a series as the soak ends a relay

Cause: the soak told a relay to end by one SIGTERM; operators send several, and a new configuration between them.

--- a/src/test/java/sprucerock/relay/platform/soak/Soak.java
+++ b/src/test/java/sprucerock/relay/platform/soak/Soak.java
@@ -31,6 +31,9 @@
 
   private static final int MAX_COUNTED_DEADLINE_MS = 3000;
 
+  /** One behind another. */
+  private static final List<String> ENDING_SIGNALS = List.of("TERM", "HUP", "TERM");
+
   /** An attempt may begin so long after its client's close, with the slack of sockets. */
   private static final long MAX_ATTEMPT_AFTER_LEAVING_MS = 150;
 
@@ -182,7 +185,11 @@
 
   private void terminateAndKill() throws Exception {
     terminatedNanos = System.nanoTime();
-    relay.signal("TERM");
+    for (String signal : ENDING_SIGNALS) {
+      if (relay.isAlive()) {
+        relay.signal(signal);
+      }
+    }
     Thread.sleep(Math.min(plan.deadlineMs(), MAX_COUNTED_DEADLINE_MS) + GRACE_MS);
     killedNanos = System.nanoTime();
     if (relay.isAlive()) {
