Count a request's time from when it may have come, not from when a late loop met it

It may have come directly behind the start of the turn before, or, since a turn's tasks are bounded, of an earlier one. The time that the unit was told was too long by the same. Evidence: ClientCrossingsTest.theLoopStandsStillAsARequestComes: 24,992 ms were told where at most 24,600 were left. Change: Timers.previousTurnStart is the time of a marker that waits among the tasks: what is met now came after it, however many turns it waited. A request that did not wait for others on its connection counts from there. Why it works: tasks run in the order in which they came, so what stands behind the marker came after it was placed. Result: the test passes.

--- a/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformClientConnection.java
@@ -93,6 +93,10 @@
 
   private PlatformRequest open;
   private Timestamp partialSince;
+
+  /** Since when the commands that are processed may have been there; null: since now. */
+  private Timestamp turnCameAt;
+
   private Timestamp lastReceivedAt;
   private Timestamp quietSince;
 
@@ -146,9 +150,12 @@
       return;
     }
     try {
+      boolean hadWaiting = !hasNothingToAnswer();
       framer.feed(bytes, this);
       notePartialMessage();
+      turnCameAt = hadWaiting ? owner.now() : owner.heardUpTo();
       processWaiting();
+      turnCameAt = null;
       if (isLeaving) {
         closeOnceIdle();
       }
@@ -496,7 +503,7 @@
     String error;
     try {
       PlatformRequest request =
-          new PlatformRequest(this, owner.parse(body, length), owner.now(), body.length);
+          new PlatformRequest(this, owner.parse(body, length), turnCameAt(), body.length);
       error = owner.open(request);
       if (error == null) {
         return request;
@@ -510,6 +517,14 @@
     return null;
   }
 
+  /**
+   * From when on a request's time counts: it may have come while the loop stood still, unless it
+   * had to wait for others on its connection.
+   */
+  private Timestamp turnCameAt() {
+    return turnCameAt == null ? owner.now() : turnCameAt;
+  }
+
   private static byte[] refusalAtTheEnd() {
     return MessageWriter.errorResponse(
         "ERROR", "57P03", "the relay is ending; trying again is harmless", null);
--- a/src/main/java/sprucerock/transport/net/Timers.java
+++ b/src/main/java/sprucerock/transport/net/Timers.java
@@ -20,8 +20,8 @@
   }
 
   /**
-   * When the previous turn began: what arrives in this turn arrived after that. Earlier than {@link
-   * #now} by as long as the loop stood still.
+   * A time in front of this turn: what is met in this turn arrived after that. Earlier than {@link
+   * #now} by as long as the loop stood still, or what it met waited.
    */
   default Timestamp previousTurnStart() {
     return now();
--- a/src/main/java/sprucerock/transport/net/nio/NioLoop.java
+++ b/src/main/java/sprucerock/transport/net/nio/NioLoop.java
@@ -83,6 +83,11 @@
   /** Completions of connections that had come as the next one was asked for. */
   private final ArrayDeque<Runnable> accepted = new ArrayDeque<>();
 
+  /** Waits among the tasks: those behind it came after the time at which it was placed. */
+  private final Runnable marker = this::reachMarker;
+
+  private Timestamp markerPlaced;
+  private Timestamp markerReached = Timestamp.ofMs(0);
   private boolean accepting;
   private long completionsOnLoop;
   private final AtomicBoolean sleeping = new AtomicBoolean();
@@ -189,8 +194,9 @@
 
   private void run() {
     while (!stopped) {
-      previousTurnStart = now;
+      previousTurnStart = markerReached;
       now = readClock();
+      placeMarker();
       timers.run(now.ms(), this::guarded);
       runTasks();
       while (!turnEnd.isEmpty()) {
@@ -209,6 +215,18 @@
     }
   }
 
+  private void placeMarker() {
+    if (markerPlaced == null) {
+      markerPlaced = now;
+      tasks.add(marker);
+    }
+  }
+
+  private void reachMarker() {
+    markerReached = markerPlaced;
+    markerPlaced = null;
+  }
+
   private void runTasks() {
     for (int i = 0; i < MAX_ACCEPTS_PER_TURN && !accepted.isEmpty(); i++) {
       guarded(accepted.poll());
--- a/src/test/java/sprucerock/relay/platform/ClientCrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/ClientCrossingsTest.java
@@ -717,6 +717,24 @@
     toldAtMostWhatIsLeft(arrived, go);
   }
 
+  /** Guards against a time that counts from when a loop that stood still met the request. */
+  @Test
+  public void theLoopStandsStillAsARequestComes() throws Exception {
+    startsWithOne();
+    kept();
+    Peers.Client client = client();
+    CountDownLatch go = holdBetweenTurns();
+    client.asks(look());
+    Peers.read(client.socket);
+    long arrived = System.nanoTime();
+    TimeUnit.MILLISECONDS.sleep(400); // a longer one leaves less
+    long met = System.nanoTime();
+    go.countDown();
+    int told = number(TOLD, either().text());
+    long left = TIME - TimeUnit.NANOSECONDS.toMillis(met - arrived);
+    assertTrue(told <= left, told + " ms were told, and at most " + left + " were left");
+  }
+
   /** Its time is over between the choice and the writing: nothing is sent. */
   @Test
   public void theTimeOfAnAttemptIsOverBeforeItIsWritten() throws Exception {
