Name the constants of the client listener and the relay, and merge what tests repeat

Change: names of the field with units and a reason each; listener methods startAccepting and checkConnections; ServeFixture and Peers.nextOf in place of the copies. No value and no behaviour is changed.

--- a/src/main/java/sprucerock/relay/platform/ClientListener.java
+++ b/src/main/java/sprucerock/relay/platform/ClientListener.java
@@ -28,13 +28,18 @@
     void left(PlatformRequest asked);
   }
 
-  private static final TimeSpan PATIENCE =
-      TimeSpan.ofMs(2000); // a client that means it needs some milliseconds
-  private static final TimeSpan LOOK = TimeSpan.ofMs(100);
-  private static final TimeSpan SPEAKS =
-      TimeSpan.ofMs(100); // who was just taken or answered may be about to ask
-  private static final int SPARE = 8; // being closed, while new ones come
-  private static final long UNSENT = 512 * 1024;
+  /** A client in good order needs some milliseconds. */
+  private static final TimeSpan MAX_SILENCE = TimeSpan.ofMs(2000);
+
+  private static final TimeSpan CHECK_INTERVAL = TimeSpan.ofMs(100);
+
+  /** One that was just accepted or answered may be about to ask. */
+  private static final TimeSpan MIN_QUIET = TimeSpan.ofMs(100);
+
+  /** Beside the largest number: some are being closed while new ones come. */
+  private static final int CLOSING_CONNECTIONS = 8;
+
+  private static final long MAX_UNSENT_BYTES = 512 * 1024;
 
   private final Net net;
   private final EventLog events;
@@ -43,19 +48,20 @@
   private final Map<String, Method> methods;
   private final BufferBudget commandBudget;
   private final BufferBudget answerBudget;
-  private final int enough;
-  private final int most;
+  private final int uncrowded;
+  private final int maxConnections;
   private final Set<PlatformClientConnection> connections = new LinkedHashSet<>();
   private final Map<String, PlatformRequest> open = new HashMap<>();
   private final RecentIds sentOn;
   private Net.Listener listener;
-  private boolean leaving;
-  private boolean refusing;
+  private boolean isLeaving;
+  private boolean isRefusing;
 
   /**
-   * {@code enough}: beyond it quiet ones give way, so that clients with a bound of their own can
-   * come; {@code most} is never passed. {@code commandBudget}: what all clients' commands may hold;
-   * {@code answerBudget}: the same for their answers; {@code seed} of the fingerprints of ids.
+   * {@code uncrowded}: beyond it quiet ones give way, so that clients with a bound of their own can
+   * come; {@code maxConnections} is never passed. {@code commandBudget}: what all clients' commands
+   * may hold; {@code answerBudget}: the same for their answers; {@code seed} of the fingerprints of
+   * ids.
    */
   ClientListener(
       Net net,
@@ -64,8 +70,8 @@
       Map<String, Method> methods,
       BufferBudget commandBudget,
       BufferBudget answerBudget,
-      int enough,
-      int most,
+      int uncrowded,
+      int maxConnections,
       long seed) {
     this.net = net;
     this.events = events;
@@ -73,8 +79,8 @@
     this.methods = methods;
     this.commandBudget = commandBudget;
     this.answerBudget = answerBudget;
-    this.enough = enough;
-    this.most = most;
+    this.uncrowded = uncrowded;
+    this.maxConnections = maxConnections;
     sentOn = new RecentIds(seed);
   }
 
@@ -82,11 +88,11 @@
     listener =
         net.bind(
             at,
-            most + SPARE,
-            UNSENT,
+            maxConnections + CLOSING_CONNECTIONS,
+            MAX_UNSENT_BYTES,
             () -> {
               PlatformClientConnection connection =
-                  new PlatformClientConnection(this, net.now(), leaving);
+                  new PlatformClientConnection(this, net.now(), isLeaving);
               connections.add(connection);
               figures.accepted();
               return connection;
@@ -96,12 +102,14 @@
           figures.rejected();
           events.warn(
               EventLog.Event.TURNED_AWAY,
-              "a client as it came: " + (most + SPARE) + " connections are open");
+              "a client as it came: "
+                  + (maxConnections + CLOSING_CONNECTIONS)
+                  + " connections are open");
         });
-    look();
+    checkConnections();
   }
 
-  void take() {
+  void startAccepting() {
     listener.startAccepting();
   }
 
@@ -116,7 +124,7 @@
 
   /** It was accepted. */
   void connected(PlatformClientConnection connection) {
-    if (connections.size() > enough) {
+    if (connections.size() > uncrowded) {
       atTurnsEnd(() -> makeRoom(connection));
     }
   }
@@ -131,7 +139,7 @@
     PlatformClientConnection goes = quietest(newest);
     if (goes != null) {
       goes.giveWay();
-    } else if (connections.size() > most && newest.isQuietFor(TimeSpan.ZERO)) {
+    } else if (connections.size() > maxConnections && newest.isQuietFor(TimeSpan.ZERO)) {
       newest.giveWay();
     }
   }
@@ -139,7 +147,7 @@
   private PlatformClientConnection quietest(PlatformClientConnection but) {
     PlatformClientConnection found = null;
     for (PlatformClientConnection connection : connections) {
-      if (connection == but || !connection.isQuietFor(SPEAKS)) {
+      if (connection == but || !connection.isQuietFor(MIN_QUIET)) {
         continue;
       }
       if (found == null
@@ -152,18 +160,18 @@
     return found;
   }
 
-  private void look() {
+  private void checkConnections() {
     for (PlatformClientConnection connection : new ArrayList<>(connections)) {
-      connection.checkSilence(PATIENCE);
+      connection.checkSilence(MAX_SILENCE);
     }
     // not only as one comes: clients that have reached a bound of their own send none
-    int over = connections.size() - enough;
+    int over = connections.size() - uncrowded;
     for (PlatformClientConnection quiet = quietest(null);
         over > 0 && quiet != null;
         quiet = quietest(null), over--) {
       quiet.giveWay();
     }
-    net.at(net.now().plus(LOOK), this::look);
+    net.at(net.now().plus(CHECK_INTERVAL), this::checkConnections);
   }
 
   Timestamp now() {
@@ -276,7 +284,7 @@
     net.at(
         net.now().plus(last),
         () -> {
-          leaving = true;
+          isLeaving = true;
           for (PlatformClientConnection connection : new ArrayList<>(connections)) {
             connection.closeOnceIdle();
           }
@@ -285,14 +293,14 @@
 
   /** From now on what comes is refused, and what has nothing open closes. */
   void refuse() {
-    refusing = true;
+    isRefusing = true;
     for (PlatformClientConnection connection : new ArrayList<>(connections)) {
       connection.closeNow();
     }
   }
 
   boolean isRefusing() {
-    return refusing;
+    return isRefusing;
   }
 
   /** Those that have begun: at the end of the relay's time they get an answer without a promise. */
--- a/src/main/java/sprucerock/relay/platform/PlatformRelay.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformRelay.java
@@ -29,34 +29,49 @@
  */
 public final class PlatformRelay extends RelayEngine
     implements ClientListener.Owner, PlatformConnectionPools.Owner {
-  // of the descriptors a relay may hold: what the program itself, the list, the desk and the peers
-  // need
-  private static final int OWN = 40;
-  private static final double CLIENTS = 3.0 / 8;
-  // usual ones hold a third at most; the rest is for the units
-  private static final double ENOUGH = 1.0 / 4;
-  // some three in four of that third: quiet ones give way before clients run out
-  private static final TimeSpan WAIT_FOR_LIST = TimeSpan.ofMs(1000);
-  // the agent answers at once
-  static final TimeSpan STILL = TimeSpan.ofMs(600);
-  // after it is told to end, new connections come for 400 ms at most
-  // the kill comes no sooner than the longest deadline, counted as 3 s at most, and 0.7 s more
-  static final TimeSpan LONGEST = TimeSpan.ofMs(3000);
-  private static final TimeSpan GRACE = TimeSpan.ofMs(700);
-  private static final double LAST = 0.6;
-  // of that time clients are served: what is open then has ended long before
-  private static final TimeSpan MARGIN = TimeSpan.ofMs(250);
-  // before the kill; a loop under load is some 50 ms late
-  private static final TimeSpan FIGURES = TimeSpan.ofMs(5000);
-  private static final TimeSpan REFUSALS = TimeSpan.ofMs(1000);
-  private static final int DATAGRAM = 256;
-  private static final TimeSpan BEAT = TimeSpan.ofMs(50);
-  // how late it comes tells how far the loop is behind
-  private static final TimeSpan ASK_AGAIN = TimeSpan.ofMs(500);
-  // for a file on the own machine; the old addresses end within 1.5 s
-  private static final TimeSpan HELD_UP = TimeSpan.ofMs(300);
-
-  // the rules forgive less
+  /** Descriptors for the program itself, discovery, the release API and the peers. */
+  private static final int OWN_DESCRIPTORS = 40;
+
+  /** Of all descriptors; usual clients hold a third at most, and the rest is for endpoints. */
+  private static final double CLIENT_DESCRIPTOR_SHARE = 3.0 / 8;
+
+  /** Three in four of a third: beyond it quiet clients give way before others find no place. */
+  private static final double UNCROWDED_CLIENT_SHARE = 1.0 / 4;
+
+  /** Discovery's agent answers at once. */
+  private static final TimeSpan MAX_LIST_WAIT = TimeSpan.ofMs(1000);
+
+  /** Once the relay is told to end, new connections come for 400 ms at most. */
+  static final TimeSpan ACCEPT_WHILE_ENDING = TimeSpan.ofMs(600);
+
+  /** The kill comes no sooner than the longest deadline, of which so much counts ... */
+  static final TimeSpan MAX_COUNTED_DEADLINE = TimeSpan.ofMs(3000);
+
+  /** ... and this. */
+  private static final TimeSpan KILL_GRACE = TimeSpan.ofMs(700);
+
+  /**
+   * Of the time to the kill, in which clients are served: what is open then has ended before it.
+   */
+  private static final double SERVING_SHARE = 0.6;
+
+  /** Before the kill; a loop under load is some 50 ms late. */
+  private static final TimeSpan KILL_MARGIN = TimeSpan.ofMs(250);
+
+  private static final TimeSpan FIGURES_INTERVAL = TimeSpan.ofMs(5000);
+  private static final TimeSpan REFUSALS_INTERVAL = TimeSpan.ofMs(1000);
+  private static final int MAX_DATAGRAM_BYTES = 256;
+
+  /** How late a beat comes tells how far the loop is behind. */
+  private static final TimeSpan BEAT_INTERVAL = TimeSpan.ofMs(50);
+
+  /** For a file on the own machine; the old addresses end within 1.5 s. */
+  private static final TimeSpan SETTINGS_READ_INTERVAL = TimeSpan.ofMs(500);
+
+  /** The rules forgive less. */
+  private static final TimeSpan LOGGED_DELAY = TimeSpan.ofMs(300);
+
+  private static final TimeSpan END_CHECK_INTERVAL = TimeSpan.ofMs(5);
 
   /** Of a command that holds memory while others wait for some: refused, it does no harm. */
   private static final TimeSpan CLIENT_STALL_LIMIT = TimeSpan.ofMs(100);
@@ -98,7 +113,7 @@
     for (Method method : settings.methods) {
       methods.put(config.methodNames.get(method.index), method);
     }
-    int forClients = (int) (config.sockets * CLIENTS);
+    int forClients = (int) (config.sockets * CLIENT_DESCRIPTOR_SHARE);
     commandMemory = MemoryLimit.ofHeap(REQUEST_MEMORY_SHARE, () -> 0);
     BufferBudget commandBudget = new BufferBudget(net, commandMemory, CLIENT_STALL_LIMIT);
     BufferBudget answerBudget =
@@ -114,7 +129,7 @@
             methods,
             commandBudget,
             answerBudget,
-            (int) (config.sockets * ENOUGH),
+            (int) (config.sockets * UNCROWDED_CLIENT_SHARE),
             forClients,
             config.seed);
     endpoints =
@@ -123,7 +138,7 @@
             events,
             this,
             answerBudget,
-            config.sockets - forClients - OWN,
+            config.sockets - forClients - OWN_DESCRIPTORS,
             settings.idleTimeout,
             config.connectWithin);
     Timestamp unix = net.now().minus(TimeSpan.ofMs(unixMs));
@@ -136,8 +151,8 @@
             endpoints,
             unix,
             chance::next,
-            this::learnt,
-            this::listLost);
+            this::endpointListReceived,
+            this::endpointListLost);
     desk =
         new ReleaseApiClient(
             net,
@@ -168,10 +183,10 @@
     discovery.start(config.known);
     desk.start(config.news);
     net.at(
-        net.now().plus(WAIT_FOR_LIST),
-        () -> letClientsIn("without discovery, which did not answer in time"));
-    net.at(net.now().plus(FIGURES), this::figures);
-    net.at(net.now().plus(REFUSALS), this::logRefusals);
+        net.now().plus(MAX_LIST_WAIT),
+        () -> acceptClients("without discovery, which did not answer in time"));
+    net.at(net.now().plus(FIGURES_INTERVAL), this::figures);
+    net.at(net.now().plus(REFUSALS_INTERVAL), this::logRefusals);
     beat(net.now());
   }
 
@@ -186,13 +201,13 @@
    */
   private void beat(Timestamp due) {
     TimeSpan late = net.now().since(due);
-    if (late.over(HELD_UP)) {
+    if (late.over(LOGGED_DELAY)) {
       eventLog.warn(
           EventLog.Event.HELD_UP,
           "for " + Math.round(late.ms()) + " ms; " + requestTracker.openRpcs() + " RPCs are open");
     }
     clients.figures().sample(net.unsentOnAccepted(), commandMemory.heldBytes(), late);
-    Timestamp next = net.now().plus(BEAT);
+    Timestamp next = net.now().plus(BEAT_INTERVAL);
     net.at(next, () -> beat(next));
   }
 
@@ -201,14 +216,14 @@
     if (clients.figures().hasRefused()) {
       eventLog.info(EventLog.Event.CLIENTS, clients.figures().line());
     }
-    net.at(net.now().plus(REFUSALS), this::logRefusals);
+    net.at(net.now().plus(REFUSALS_INTERVAL), this::logRefusals);
   }
 
-  private void learnt() {
-    letClientsIn("with a list");
+  private void endpointListReceived() {
+    acceptClients("with a list");
   }
 
-  private void listLost() {
+  private void endpointListLost() {
     policy.endpointListFailed();
     askSettings();
   }
@@ -220,19 +235,20 @@
    */
   private void askSettings() {
     Timestamp now = net.now();
-    if (finishing || askedSettings != null && !now.since(askedSettings).over(ASK_AGAIN)) {
+    if (finishing
+        || askedSettings != null && !now.since(askedSettings).over(SETTINGS_READ_INTERVAL)) {
       return;
     }
     askedSettings = now;
     askSettings.run();
   }
 
-  private void letClientsIn(String how) {
+  private void acceptClients(String how) {
     if (taking || finishing) {
       return;
     }
     taking = true;
-    clients.take();
+    clients.startAccepting();
     eventLog.info(
         EventLog.Event.STARTED,
         "relay "
@@ -269,7 +285,7 @@
             + " desk-silent-ms "
             + Math.round(desk.silent().ms()));
     eventLog.info(EventLog.Event.CLIENTS, clients.figures().line());
-    net.at(net.now().plus(FIGURES), this::figures);
+    net.at(net.now().plus(FIGURES_INTERVAL), this::figures);
   }
 
   /**
@@ -302,14 +318,14 @@
     finishing = true;
     eventLog.info(EventLog.Event.FINISHING, requestTracker.openRpcs() + " RPCs are open");
     if (!taking) {
-      clients.take();
+      clients.startAccepting();
     }
     Timestamp now = net.now();
-    TimeSpan time = config.longest.atMost(LONGEST).plus(GRACE);
-    TimeSpan last = time.times(LAST).atLeast(STILL);
-    clients.shutdown(STILL, last);
+    TimeSpan time = config.longest.atMost(MAX_COUNTED_DEADLINE).plus(KILL_GRACE);
+    TimeSpan last = time.times(SERVING_SHARE).atLeast(ACCEPT_WHILE_ENDING);
+    clients.shutdown(ACCEPT_WHILE_ENDING, last);
     net.at(
-        now.plus(time.minus(MARGIN).atLeast(last)),
+        now.plus(time.minus(KILL_MARGIN).atLeast(last)),
         () -> {
           clients.refuse();
           for (PlatformRequest asked : clients.openRequests()) {
@@ -322,7 +338,7 @@
   private void endIfDone(Timestamp by, Runnable done) {
     boolean all = requestTracker.openRpcs() == 0 && clients.size() == 0;
     if (!all && by.after(net.now())) {
-      net.at(net.now().plus(TimeSpan.ofMs(5)), () -> endIfDone(by, done));
+      net.at(net.now().plus(END_CHECK_INTERVAL), () -> endIfDone(by, done));
       return;
     }
     discovery.stop();
@@ -412,7 +428,7 @@
   }
 
   private void tell(InetSocketAddress to, byte[] contents) {
-    if (datagrams == null || to == null || contents.length > DATAGRAM) {
+    if (datagrams == null || to == null || contents.length > MAX_DATAGRAM_BYTES) {
       return;
     }
     datagrams.send(to, contents);
--- a/src/test/java/sprucerock/relay/platform/ClientCrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/ClientCrossingsTest.java
@@ -260,18 +260,8 @@
     return Integer.parseInt(found.group(1));
   }
 
-  /** The next statement that comes to either unit. */
   private Peers.Unit.Query either() throws InterruptedException {
-    for (long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(Peers.LONG);
-        System.nanoTime() < until; ) {
-      for (Peers.Unit endpoint : List.of(one, two)) {
-        Peers.Unit.Query query = endpoint.asked.poll(2, TimeUnit.MILLISECONDS);
-        if (query != null) {
-          return query;
-        }
-      }
-    }
-    throw new AssertionError("never seen: a statement at either unit");
+    return Peers.nextOf(one, two);
   }
 
   private Peers.Unit other(Peers.Unit endpoint) {
--- a/src/test/java/sprucerock/relay/platform/ClientMemoryTest.java
+++ b/src/test/java/sprucerock/relay/platform/ClientMemoryTest.java
@@ -83,7 +83,7 @@
             MAX_CLIENTS,
             1);
     listener.start(ADDRESS);
-    listener.take();
+    listener.startAccepting();
   }
 
   private final class Client implements ConnectionListener, MessageFramer.Listener {
--- a/src/test/java/sprucerock/relay/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/CrossingsTest.java
@@ -495,18 +495,8 @@
     assertTrue(two.asked.isEmpty());
   }
 
-  /** The next statement that comes to either unit. */
   private Peers.Unit.Query either() throws InterruptedException {
-    for (long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(Peers.LONG);
-        System.nanoTime() < until; ) {
-      for (Peers.Unit endpoint : List.of(one, two)) {
-        Peers.Unit.Query query = endpoint.asked.poll(2, TimeUnit.MILLISECONDS);
-        if (query != null) {
-          return query;
-        }
-      }
-    }
-    throw new AssertionError("never seen: a statement at either unit");
+    return Peers.nextOf(one, two);
   }
 
   /**
@@ -535,7 +525,7 @@
     CountDownLatch go = new CountDownLatch(1);
     loop.post(
         () -> {
-          loop.at(loop.now().plus(PlatformRelay.STILL), standsStill(held, go));
+          loop.at(loop.now().plus(PlatformRelay.ACCEPT_WHILE_ENDING), standsStill(held, go));
           serving.shutdown(
               () -> {
                 loop.close();
@@ -633,7 +623,7 @@
           } catch (IOException e) {
             throw new UncheckedIOException(e);
           }
-          door[0].take();
+          door[0].startAccepting();
           listens.complete(door[0].address().getPort());
         });
     port = listens.get(Peers.LONG, TimeUnit.SECONDS);
--- a/src/test/java/sprucerock/relay/platform/Peers.java
+++ b/src/test/java/sprucerock/relay/platform/Peers.java
@@ -42,6 +42,20 @@
     return one;
   }
 
+  /** The next statement that comes to any of these units. */
+  static Unit.Query nextOf(Unit... units) throws InterruptedException {
+    for (long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(LONG);
+        System.nanoTime() < until; ) {
+      for (Unit unit : units) {
+        Unit.Query query = unit.asked.poll(2, TimeUnit.MILLISECONDS);
+        if (query != null) {
+          return query;
+        }
+      }
+    }
+    throw new AssertionError("never seen: a statement at any unit");
+  }
+
   static void await(CountDownLatch latch, String what) throws InterruptedException {
     if (!latch.await(LONG, TimeUnit.SECONDS)) {
       throw new AssertionError("never seen: " + what);
--- a/src/test/java/sprucerock/relay/platform/ServeMemoryTest.java
+++ b/src/test/java/sprucerock/relay/platform/ServeMemoryTest.java
@@ -4,9 +4,6 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -18,23 +15,13 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import sprucerock.transport.postgres.MessageWriter;
 
 /**
  * A relay as its own process, whose clients and units send some twice as much as its heap holds.
  * Verdicts hold whatever the machine's speed.
  */
 public class ServeMemoryTest {
-  private static final String CONFIG =
-      """
-        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c","limits":{"sockets":1024},"release_api":{"address":"%s","news":{}},
-         "known":{"version":4,"full":true,"servers":[%s]},
-         "settings":{"balancers":1,"index":0,"my_zone":0,"tick":5,"zones":["a"],"kinds":["m"],"membership_mode":"push",
-          "classes":[{"name":"pay","effect":"non_idempotent","on_time":20000,"hard_limit":20000,"worth":1}],
-          "obligations":{"ask_within":10000,"cold":1000,"start_capacity":0.4,"tip_after":1000,"tip_multiple":3},
-          "permissions":{"cancel":true,"connect_timeout":20000,"keepalive":60000,"max_retry_after":500,"peers":false,"retry_after":true,"second_copies":true,"send_cap":3},
-          "specifics":{"ballot_ttl":4000,"call_timeout":1000,"caps":[0.1,1.0],"per":"all","uncounted":3,"vote_mode":"single"}}}
-        """;
+  private static final int SOCKETS = 1024;
 
   /** A third of the descriptors, nearly: as many as clients hold at most. */
   private static final int BAD_CLIENTS = 320;
@@ -52,43 +39,21 @@
   /** A connection is used again after some silence. */
   private static final int UNTIL_IDLE_MS = 30;
 
-  private Peers peers;
-  private Peers.Unit endpoint;
-  private Path file;
-  private ServeProcess relay;
-  private int port;
+  private ServeFixture fixture;
   private int ids;
 
   @BeforeMethod
   public void start() throws Exception {
-    peers = new Peers();
-    endpoint = peers.new Unit();
-    Peers.Agent discovery = peers.new Agent();
-    file = Files.createTempFile("serve", ".json");
-    Files.writeString(
-        file,
-        CONFIG.formatted(
-            discovery.address(), peers.new Agent().address(), endpoint.entry("s-1", "SERVING", 7)));
-    relay = ServeProcess.start(file, 0, "-Xmx24m", "-Xss512k");
-    discovery.call().begins().list(4, false);
-    port = relay.awaitStarted();
+    fixture = new ServeFixture(SOCKETS, "-Xmx24m", "-Xss512k");
   }
 
   @AfterMethod
   public void end() throws Exception {
-    relay.kill();
-    peers.close();
-    Files.delete(file);
+    fixture.close();
   }
 
   private byte[] insert(int valueBytes) {
-    String text =
-        "INSERT INTO records (k, v) VALUES ('aa', '\\x"
-            + "0f".repeat(valueBytes)
-            + "') RETURNING v /* id="
-            + ids++
-            + ",c=pay,d=20000 */";
-    return MessageWriter.query(text.getBytes(StandardCharsets.US_ASCII));
+    return ServeFixture.pay("" + ids++, valueBytes);
   }
 
   /** Has the endpoint answer all that it is asked, each with a value of so many bytes. */
@@ -99,7 +64,7 @@
             () -> {
               try {
                 while (true) {
-                  Peers.Unit.Query query = endpoint.asked.take();
+                  Peers.Unit.Query query = fixture.endpoint.asked.take();
                   answer(query, value);
                 }
               } catch (InterruptedException e) {
@@ -135,7 +100,7 @@
           new Thread(
               () -> {
                 try {
-                  Peers.Client client = peers.new Client(port);
+                  Peers.Client client = fixture.peers.new Client(fixture.port);
                   client.welcomed();
                   try {
                     client.sends(bytes);
@@ -160,10 +125,10 @@
   }
 
   private void assertServesOn() throws Exception {
-    Peers.Client usual = peers.new Client(port);
+    Peers.Client usual = fixture.peers.new Client(fixture.port);
     usual.sends(insert(2));
     assertEquals(usual.welcomed().answer().substring(0, 7), "value v");
-    assertTrue(relay.isAlive());
+    assertTrue(fixture.relay.isAlive());
   }
 
   /** Guards against half commands that fill the heap and end the threads of all input: review/1. */
@@ -218,7 +183,9 @@
       TimeUnit.MILLISECONDS.sleep(UNTIL_IDLE_MS);
     }
     assertEquals(
-        relay.unreadLog().stream().filter(line -> line.contains("PLATFORM_UNREADABLE")).toList(),
+        fixture.relay.unreadLog().stream()
+            .filter(line -> line.contains("PLATFORM_UNREADABLE"))
+            .toList(),
         List.of());
   }
 
