End the input of a connection that closes between two requests at once

Cause: such a connection closed only once the loop had a turn in which nothing waited, up to 100 ms later under load, and was read until then. As a relay ends each connection is closed behind its last answer; its client went on asking on it, was refused (57P03), and asked again, up to the kill. Evidence: the test's report: "came after SIGTERM and was unanswered at the kill", 71 and 74 ms with the 50 ms that the client waits to tell the cases apart; kill due 2.2 s after SIGTERM. Change: the input ends with the turn in which the close was asked for. That wait guarded completions which had come by then; ending the input does. Why it works: behind that no further request is read, and what crosses is served or unread, as CloseCrossingTest holds.

--- a/src/main/java/sprucerock/transport/net/nio/NioConnection.java
+++ b/src/main/java/sprucerock/transport/net/nio/NioConnection.java
@@ -386,7 +386,7 @@
     }
     if (unsent.isEmpty() && inFlight.isEmpty()) {
       if (finishing && unlessReceived) {
-        loop.whenQuiet(this::closeUnlessReceived);
+        closeUnlessReceived();
       } else if (finishing) {
         cut("done");
       }
@@ -538,13 +538,13 @@
    * bytes for it in this very moment: it is ended first, and tells which.
    */
   private void closeUnlessReceived() {
-    if (!finishing || !unlessReceived || !unsent.isEmpty() || !inFlight.isEmpty()) {
-      return;
-    }
     if (!reading) {
       cut("done");
       return;
     }
+    if (inputShutDown) {
+      return; // the end of the read in flight is awaited
+    }
     try {
       channel.shutdownInput();
       inputShutDown = true;
