--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -Xlint:all -d target/review-2 review/rig-2/*.java $(ls review/6/*.java review/7/*.java review/8/*.java review/9/*.java review/10/*.java 2>/dev/null)
+javac --release 17 -Xlint:all -d target/review-2 review/rig-2/*.java review/[6-9]/*.java
