Share the simulated ends of the platform's tests in a class of their own

Cause: the unit, client, discovery and desk of PlatformTest (1,097 lines) were private to it, so that a test of another matter had to write them again. Change: they are SimulatedPeers now; PlatformTest uses them. No test and no check changed.

--- a/src/test/java/sprucerock/relay/platform/PlatformTest.java
+++ b/src/test/java/sprucerock/relay/platform/PlatformTest.java
@@ -4,9 +4,11 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
+import static sprucerock.relay.platform.SimulatedPeers.address;
+import static sprucerock.relay.platform.SimulatedPeers.entry;
+import static sprucerock.relay.platform.SimulatedPeers.value;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -20,15 +22,13 @@
 import sprucerock.config.ConfigException;
 import sprucerock.model.Settings;
 import sprucerock.policy.RoutingPolicy;
+import sprucerock.relay.platform.SimulatedPeers.Client;
+import sprucerock.relay.platform.SimulatedPeers.UnitEnd;
+import sprucerock.relay.platform.SimulatedPeers.Watch;
 import sprucerock.time.TimeSpan;
-import sprucerock.transport.net.Connection;
-import sprucerock.transport.net.ConnectionListener;
 import sprucerock.transport.net.Datagrams;
 import sprucerock.transport.net.SimulatedNet;
-import sprucerock.transport.postgres.MessageFramer;
-import sprucerock.transport.postgres.MessageReader;
 import sprucerock.transport.postgres.MessageWriter;
-import sprucerock.transport.postgres.ProtocolException;
 
 /**
  * A relay on the platform, with the module that decides, among clients, units, discovery and a desk
@@ -51,192 +51,13 @@
            "second_copies":true,"send_cap":3},
           "specifics":{"ballot_ttl":4000,"call_timeout":1000,"caps":[0.1,1.0],"per":"all","uncounted":3,"vote_mode":"single"}}}""";
 
-  /** A unit: greets, and answers queries as it is told. */
-  private final class FakeUnit implements ConnectionListener, MessageFramer.Listener {
-    private final MessageFramer in = MessageFramer.fromClient(1 << 18);
-    Connection connection;
-    String query;
-
-    /** Sent as the next query comes, in front of its answer: a second copy that crosses it. */
-    byte[] lateCopy = {};
-
-    @Override
-    public void connected(Connection made) {
-      connection = made;
-    }
-
-    @Override
-    public void received(ByteBuffer bytes) {
-      try {
-        in.feed(bytes, this);
-      } catch (ProtocolException e) {
-        throw new AssertionError(e);
-      }
-    }
-
-    @Override
-    public boolean wantsMore() {
-      return true;
-    }
-
-    @Override
-    public void onMessage(char type, byte[] body) throws ProtocolException {
-      if (type == 0) {
-        in.startupComplete();
-        connection.append(MessageWriter.sessionStart());
-      } else if (type == 'Q') {
-        connection.append(lateCopy);
-        lateCopy = new byte[0];
-        queried(new String(MessageReader.parseQuery(body), StandardCharsets.US_ASCII));
-      }
-    }
-
-    private void queried(String text) {
-      if (text.isEmpty()) {
-        connection.append(MessageWriter.emptyQueryResponse());
-        connection.append(MessageWriter.readyForQuery());
-        return;
-      }
-      query = text;
-      asked.add(this);
-    }
-
-    void says(byte[]... messages) {
-      query = null;
-      net.turn(() -> connection.append(MessageWriter.concat(messages)));
-      net.settle();
-    }
-
-    @Override
-    public void closed(String why) {
-      closed++;
-    }
-  }
-
-  private class Client implements ConnectionListener, MessageFramer.Listener {
-    private final MessageFramer in = MessageFramer.fromServer(1 << 18);
-    final List<String> got = new ArrayList<>();
-    Connection connection;
-    boolean closed;
-
-    Client() {
-      net.connect(address(100), sprucerock.time.TimeSpan.ofMs(100), 1 << 20, this);
-      net.settle();
-    }
-
-    Client started() {
-      sends(MessageWriter.startupMessage("svc", "main"));
-      got.clear();
-      return this;
-    }
-
-    void sends(byte[]... bytes) {
-      net.turn(() -> connection.append(MessageWriter.concat(bytes)));
-      net.settle();
-    }
-
-    void asks(String text) {
-      sends(MessageWriter.query(text.getBytes(StandardCharsets.US_ASCII)));
-    }
-
-    @Override
-    public void connected(Connection made) {
-      connection = made;
-    }
-
-    @Override
-    public void received(ByteBuffer bytes) {
-      try {
-        in.feed(bytes, this);
-      } catch (ProtocolException e) {
-        throw new AssertionError(e);
-      }
-    }
-
-    @Override
-    public boolean wantsMore() {
-      return true;
-    }
-
-    @Override
-    public void onMessage(char type, byte[] body) throws ProtocolException {
-      if (type == 'D') {
-        got.add(
-            "value " + new String(MessageReader.parseSingleValue(body), StandardCharsets.US_ASCII));
-      } else if (type == 'E') {
-        got.add(
-            "error "
-                + MessageReader.parseErrorField(body, 'C')
-                + (MessageReader.parseErrorField(body, 'D') == null
-                    ? ""
-                    : " again after " + MessageReader.parseErrorField(body, 'D')));
-      } else {
-        got.add("" + type);
-      }
-    }
-
-    @Override
-    public void closed(String why) {
-      closed = true;
-    }
-  }
-
-  /** Discovery or desk: keeps what was asked, and says what it is told. */
-  private final class Told implements ConnectionListener {
-    Connection connection;
-    final StringBuilder heard = new StringBuilder();
-
-    @Override
-    public void connected(Connection made) {
-      connection = made;
-    }
-
-    @Override
-    public void received(ByteBuffer bytes) {
-      heard.append(StandardCharsets.US_ASCII.decode(bytes));
-    }
-
-    @Override
-    public void closed(String why) {}
-
-    void begins() {
-      says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    }
-
-    void chunk(String text) {
-      says(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-    }
-
-    void says(String text) {
-      net.turn(() -> connection.append(text.getBytes(StandardCharsets.US_ASCII)));
-      net.settle();
-    }
-  }
-
   private SimulatedNet net;
+  private SimulatedPeers peers;
   private PlatformRelay serving;
-  private final List<FakeUnit> asked = new ArrayList<>();
-  private final List<Told> discovery = new ArrayList<>();
-  private final List<Told> desk = new ArrayList<>();
-  private int closed;
+  private final List<Watch> discovery = new ArrayList<>();
+  private final List<Watch> desk = new ArrayList<>();
   private int ids;
 
-  private static InetSocketAddress address(int port) {
-    return new InetSocketAddress("127.0.0.1", port);
-  }
-
-  private static String entry(String id, int port, String state, int build) {
-    return "{\"id\":\""
-        + id
-        + "\",\"addr\":\"127.0.0.1:"
-        + port
-        + "\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":0,\"state\":\""
-        + state
-        + "\",\"weight\":1.0,\"started_ms\":0,\"image_id\":"
-        + build
-        + "}";
-  }
-
   private static PlatformConfig config(int sockets, int deskPort, String servers)
       throws IOException, ConfigException {
     Path file = Files.createTempFile("platform", ".json");
@@ -253,13 +74,12 @@
   @BeforeMethod
   public void start() throws Exception {
     net = new SimulatedNet(1000, 1);
-    asked.clear();
+    peers = new SimulatedPeers(net);
     discovery.clear();
     desk.clear();
-    closed = 0;
     settingsAsked = 0;
     for (int port : new int[] {300, 301}) {
-      net.listen(address(port), 1000, 1 << 20, FakeUnit::new);
+      net.listen(address(port), 1000, 1 << 20, () -> peers.new UnitEnd());
     }
     net.listen(address(200), 10, 1 << 20, () -> keep(discovery));
     net.listen(address(500), 40, 1 << 20, () -> keep(desk));
@@ -284,8 +104,8 @@
     desk.get(0).begins();
   }
 
-  private Told keep(List<Told> in) {
-    Told made = new Told();
+  private Watch keep(List<Watch> in) {
+    Watch made = peers.new Watch();
     in.add(made);
     return made;
   }
@@ -306,26 +126,8 @@
         + " */";
   }
 
-  private static byte[][] value(String value) {
-    byte[] column =
-        ByteBuffer.allocate(22).putShort((short) 1).put((byte) 'v').put((byte) 0).array();
-    byte[] bytes = value.getBytes(StandardCharsets.US_ASCII);
-    byte[] row =
-        ByteBuffer.allocate(6 + bytes.length)
-            .putShort((short) 1)
-            .putInt(bytes.length)
-            .put(bytes)
-            .array();
-    return new byte[][] {
-      MessageWriter.message('T', Arrays.copyOf(column, 22)),
-      MessageWriter.message('D', row),
-      MessageWriter.message('C', "SELECT 1\0".getBytes(StandardCharsets.US_ASCII)),
-      MessageWriter.readyForQuery()
-    };
-  }
-
-  private FakeUnit last() {
-    return asked.get(asked.size() - 1);
+  private UnitEnd last() {
+    return peers.asked.get(peers.asked.size() - 1);
   }
 
   private static final List<String> EMPTY = List.of("I", "Z");
@@ -336,14 +138,14 @@
 
   @Test
   public void anEmptyQueryShowsThatItServes() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.asks("");
     assertEquals(client.got, EMPTY);
   }
 
   @Test
   public void aStatementGoesToAUnitUnchangedButForTheTimeAndItsValueComesBack() {
-    Client client = new Client();
+    Client client = peers.new Client();
     String text = look(900);
     client.sends(
         MessageWriter.startupMessage("svc", "main"),
@@ -360,14 +162,14 @@
 
   @Test
   public void commandsOneBehindAnotherAreAnsweredInOrder() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.sends(
         MessageWriter.query(look(900).getBytes(StandardCharsets.US_ASCII)),
         MessageWriter.query(new byte[0]),
         MessageWriter.query(look(900).getBytes(StandardCharsets.US_ASCII)));
-    assertEquals(asked.size(), 1);
+    assertEquals(peers.asked.size(), 1);
     last().says(value("one"));
-    assertEquals(asked.size(), 2);
+    assertEquals(peers.asked.size(), 2);
     last().says(value("two"));
     assertEquals(
         client.got, List.of("T", "value one", "C", "Z", "I", "Z", "T", "value two", "C", "Z"));
@@ -375,7 +177,7 @@
 
   @Test
   public void whatCannotBeServedGetsAnErrorAndTheConnectionGoesOn() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     for (String bad :
         new String[] {
           "SELECT 1",
@@ -394,7 +196,7 @@
       client.asks(bad);
       assertEquals(client.got, List.of("error 42601", "Z"), bad);
     }
-    assertTrue(asked.isEmpty());
+    assertTrue(peers.asked.isEmpty());
     client.got.clear();
     client.asks("");
     assertEquals(client.got, EMPTY);
@@ -402,8 +204,8 @@
 
   @Test
   public void theIdOfAnotherClientsOpenRequestIsAnError() {
-    Client one = new Client().started();
-    Client two = new Client().started();
+    Client one = peers.new Client().started();
+    Client two = peers.new Client().started();
     String text = look(900);
     one.asks(text);
     two.asks(text);
@@ -420,12 +222,12 @@
           {0, 0, 0, 0},
           ByteBuffer.allocate(4).putInt(60_000_000).array()
         }) {
-      Client client = new Client();
+      Client client = peers.new Client();
       client.sends(bad);
       assertEquals(client.got, List.of("error 08P01"));
       assertTrue(client.closed);
     }
-    Client later = new Client().started();
+    Client later = peers.new Client().started();
     later.sends(ByteBuffer.allocate(5).put((byte) 'Q').putInt(60_000_000).array());
     assertEquals(later.got, List.of("error 08P01"));
     assertTrue(later.closed);
@@ -433,8 +235,8 @@
 
   @Test
   public void whoSaysNothingOrHalfACommandIsEndedWithinThreeSeconds() {
-    Client silent = new Client();
-    Client half = new Client().started();
+    Client silent = peers.new Client();
+    Client half = peers.new Client().started();
     half.asks("");
     half.sends(new byte[] {'Q', 0, 0, 0, 50, 'S'});
     net.pass(2600);
@@ -448,11 +250,11 @@
    */
   @Test
   public void theTimeOfAStatementInPiecesCountsFromItsLastByte() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     byte[] query = MessageWriter.query(look(500).getBytes(StandardCharsets.US_ASCII));
     client.sends(Arrays.copyOf(query, query.length - 1));
     net.pass(600);
-    assertTrue(asked.isEmpty());
+    assertTrue(peers.asked.isEmpty());
     client.sends(Arrays.copyOfRange(query, query.length - 1, query.length));
     assertTrue(last().query.contains(",d=500 "), last().query);
     net.pass(400);
@@ -464,10 +266,10 @@
   public void silentConnectionsGiveWayWhenAllPlacesAreTaken() {
     List<Client> silent = new ArrayList<>();
     for (int i = 0; i < 48; i++) {
-      silent.add(new Client()); // as many places at 128 descriptors
+      silent.add(peers.new Client()); // as many places at 128 descriptors
     }
     net.pass(150);
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.asks("");
     assertEquals(client.got, EMPTY);
     assertTrue(silent.get(0).closed);
@@ -475,7 +277,7 @@
 
   @Test
   public void hundredsOfCommandsAtOnceAreEnded() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     byte[][] all = new byte[300][];
     for (int i = 0; i < all.length; i++) {
       all[i] = MessageWriter.query(look(900).getBytes(StandardCharsets.US_ASCII));
@@ -487,15 +289,15 @@
     net.pass(2000);
     assertTrue(client.closed);
     assertEquals(client.got, owed);
-    assertEquals(asked.size(), 0);
+    assertEquals(peers.asked.size(), 0);
   }
 
   /** Guards against an error that is taken for the answer of a command that may have run. */
   @Test
   public void tooManyCommandsAreEndedBehindTheAnswersThatAreOwed() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.asks(pay(900));
-    FakeUnit first = last();
+    UnitEnd first = last();
     byte[][] behind = new byte[300][];
     for (int i = 0; i < behind.length; i++) {
       behind[i] = MessageWriter.query(look(900).getBytes(StandardCharsets.US_ASCII));
@@ -510,7 +312,7 @@
     net.pass(2000);
     assertTrue(client.closed);
     assertEquals(client.got, owed);
-    assertEquals(asked.size(), 1);
+    assertEquals(peers.asked.size(), 1);
   }
 
   private static List<String> refused(int commands) {
@@ -548,15 +350,15 @@
           {good[0], good[2]},
           {good[3]}
         }) {
-      Client client = new Client().started();
-      int before = asked.size();
+      Client client = peers.new Client().started();
+      int before = peers.asked.size();
       client.asks(look(900));
-      FakeUnit first = last();
-      int closedBefore = closed;
+      UnitEnd first = last();
+      int closedBefore = peers.closedUnitEnds;
       first.says(spoilt);
       assertEquals(client.got, List.of()); // another pick goes out, as the method allows
-      assertTrue(closed > closedBefore);
-      assertEquals(asked.size(), before + 2);
+      assertTrue(peers.closedUnitEnds > closedBefore);
+      assertEquals(peers.asked.size(), before + 2);
       assertFalse(last() == first);
       last().says(value("good"));
       assertEquals(client.got, served("good"));
@@ -566,18 +368,18 @@
 
   @Test
   public void aSpoiltAnswerOfWhatMayNotRunTwiceIsAnErrorAtOnce() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.asks(pay(900));
     last().says(new byte[] {9, 9, 9, 9, 9});
     assertEquals(client.got, List.of("error 58000", "Z"));
-    assertEquals(asked.size(), 1);
+    assertEquals(peers.asked.size(), 1);
   }
 
   @Test
   public void aSecondCopyBehindAnAnswerIsNotTheNextRequestsAnswer() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.asks(look(900));
-    FakeUnit first = last();
+    UnitEnd first = last();
     first.says(value("one"));
     first.says(value("one"));
     client.got.clear();
@@ -588,7 +390,7 @@
   }
 
   /** Has only one unit serve, which has answered once on a connection that is idle now. */
-  private FakeUnit onlyUnit(Client client, byte[]... answer) {
+  private UnitEnd onlyUnit(Client client, byte[]... answer) {
     discovery
         .get(0)
         .chunk(
@@ -596,7 +398,7 @@
                 + entry("s-1", 300, "DRAINING", 7)
                 + "]}\n");
     client.asks(look(900));
-    FakeUnit unit = last();
+    UnitEnd unit = last();
     unit.says(answer);
     net.pass(20);
     client.got.clear();
@@ -606,13 +408,13 @@
   /** Guards against a second copy that comes some milliseconds late: review/2. */
   @Test
   public void aSecondCopyThatCrossesTheNextStatementIsNotItsAnswer() {
-    Client client = new Client().started();
-    FakeUnit unit = onlyUnit(client, value("one"));
+    Client client = peers.new Client().started();
+    UnitEnd unit = onlyUnit(client, value("one"));
     unit.lateCopy = MessageWriter.concat(value("one"));
     client.asks(pay(900));
     assertTrue(last() == unit); // it has the statement, which may have run
     assertEquals(client.got, List.of("error 58000", "Z"));
-    assertEquals(closed, 1);
+    assertEquals(peers.closedUnitEnds, 1);
   }
 
   /** Guards against a copy that says of another statement that it never ran. */
@@ -622,8 +424,8 @@
         MessageWriter.concat(
             MessageWriter.errorResponse("ERROR", "53300", "full", null),
             MessageWriter.readyForQuery());
-    Client client = new Client().started();
-    FakeUnit unit = onlyUnit(client, value("one"));
+    Client client = peers.new Client().started();
+    UnitEnd unit = onlyUnit(client, value("one"));
     unit.lateCopy = full;
     client.asks(pay(900));
     assertTrue(last() == unit);
@@ -633,8 +435,8 @@
   /** What may run twice is asked again elsewhere. */
   @Test
   public void aSecondCopyThatCrossesARepeatableStatementCostsAnAttempt() {
-    Client client = new Client().started();
-    FakeUnit unit = onlyUnit(client, value("one"));
+    Client client = peers.new Client().started();
+    UnitEnd unit = onlyUnit(client, value("one"));
     discovery
         .get(0)
         .chunk(
@@ -643,7 +445,7 @@
                 + "]}\n");
     unit.lateCopy = MessageWriter.concat(value("one"));
     while (unit.lateCopy.length > 0) {
-      assertTrue(asked.size() < 100, "its connection is never used again");
+      assertTrue(peers.asked.size() < 100, "its connection is never used again");
       client.got.clear();
       client.asks(look(900));
       if (unit.lateCopy.length > 0) {
@@ -658,8 +460,8 @@
 
   @Test
   public void largeStatementsBehindOneAnotherComeWholeOnOneConnection() {
-    Client client = new Client().started();
-    FakeUnit unit = onlyUnit(client, value("one"));
+    Client client = peers.new Client().started();
+    UnitEnd unit = onlyUnit(client, value("one"));
     for (int i = 0; i < 3; i++) {
       client.asks(pay(900).replace("9f03", "9f03".repeat(5000)));
       assertTrue(last() == unit);
@@ -667,17 +469,17 @@
       unit.says(value("large"));
       net.pass(20);
     }
-    assertEquals(closed, 0);
+    assertEquals(peers.closedUnitEnds, 0);
   }
 
   @Test
   public void aUnitThatIsFullWasNotRunSoEvenWhatMustNotRunTwiceGoesElsewhere() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.asks(pay(900));
-    FakeUnit first = last();
+    UnitEnd first = last();
     first.says(
         MessageWriter.errorResponse("ERROR", "53300", "full", null), MessageWriter.readyForQuery());
-    assertEquals(asked.size(), 2);
+    assertEquals(peers.asked.size(), 2);
     assertFalse(last() == first);
     last().says(value("paid"));
     assertEquals(client.got, served("paid"));
@@ -685,28 +487,28 @@
 
   @Test
   public void anErrorOfWhatMustNotRunTwiceIsTheAnswer() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.asks(pay(900));
     last()
         .says(
             MessageWriter.errorResponse("ERROR", "XX000", "went wrong", null),
             MessageWriter.readyForQuery());
     assertEquals(client.got, List.of("error 58000", "Z"));
-    assertEquals(asked.size(), 1);
+    assertEquals(peers.asked.size(), 1);
   }
 
   @Test
   public void aClientThatLeavesEndsItsPick() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.asks(look(900));
     net.turn(() -> client.connection.cut("left"));
     net.settle();
-    assertEquals(closed, 1);
+    assertEquals(peers.closedUnitEnds, 1);
   }
 
   @Test
   public void silenceIsAnsweredByTheDeadlineAndNothingComesAfter() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.asks(pay(400));
     net.pass(399);
     assertEquals(client.got, List.of("error 58000", "Z"));
@@ -722,7 +524,7 @@
             "{\"version\":5,\"full\":false,\"servers\":["
                 + entry("s-1", 300, "DRAINING", 7)
                 + "]}\n");
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     for (int i = 0; i < 20; i++) {
       client.asks(look(900));
       last().says(value("x"));
@@ -859,7 +661,7 @@
    */
   @Test
   public void toldToEndItServesOnForAWhileAndAnswersAllBeforeTheKill() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.asks("");
     boolean[] done = {false};
     net.turn(
@@ -867,7 +669,7 @@
             serving.shutdown(
                 () -> done[0] = true)); // the kill comes after 3,700 ms at the earliest
     net.pass(300);
-    Client late = new Client().started();
+    Client late = peers.new Client().started();
     late.asks(look(3000));
     last().says(value("late"));
     assertEquals(late.got, served("late"));
@@ -892,7 +694,7 @@
    */
   @Test
   public void whatWaitsBehindARequestAsTimeIsOverIsRefused() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.sends(
         MessageWriter.query(pay(3000).getBytes(StandardCharsets.US_ASCII)),
         MessageWriter.query(pay(3000).getBytes(StandardCharsets.US_ASCII)));
@@ -906,7 +708,7 @@
                     client.connection.append(
                         MessageWriter.query(pay(3000).getBytes(StandardCharsets.US_ASCII)))));
     net.pass(3500);
-    assertEquals(asked.size(), 2); // the first had its deadline before
+    assertEquals(peers.asked.size(), 2); // the first had its deadline before
     assertEquals(client.got, List.of("error 58000", "Z", "error 58000", "Z", "error 57P03", "Z"));
     assertTrue(client.closed);
     assertTrue(done[0]);
@@ -918,10 +720,10 @@
    */
   @Test
   public void aLateReadinessOfOneAnswerIsNotHeldAgainstTheNext() {
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     byte[][] all = value("x");
     client.asks(look(5000));
-    FakeUnit endpoint = last();
+    UnitEnd endpoint = last();
     endpoint.says(all[0], all[1], all[2]);
     net.pass(900);
     endpoint.says(all[3]);
@@ -934,7 +736,7 @@
     net.pass(50);
     client.asks(look(5000));
     assertTrue(last() == endpoint);
-    assertEquals(asked.size(), 3);
+    assertEquals(peers.asked.size(), 3);
     endpoint.says(all);
     assertEquals(client.got.size(), 12);
   }
@@ -943,10 +745,10 @@
   @Test
   public void theEndWaitsForThoseWhoHaveNotReadTheirAnswersButNotPastTheKill() {
     for (boolean reads : new boolean[] {true, false}) {
-      Client client = new Client().started();
+      Client client = peers.new Client().started();
       client.asks(look(900));
       net.setNobodyReads(true);
-      FakeUnit endpoint = last();
+      UnitEnd endpoint = last();
       net.setNobodyReads(false);
       endpoint.says(value("slow"));
       boolean[] done = {false};
@@ -980,7 +782,7 @@
             + "\n  ]\n}\n\n";
     discovery.get(0).chunk(list.substring(0, 40));
     discovery.get(0).chunk(list.substring(40) + "{\"version\":6,\"full\":false,\"servers\":[]}\n");
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     for (int i = 0; i < 10; i++) {
       client.asks(look(900));
       assertTrue(last().query != null);
@@ -996,8 +798,8 @@
   @Test
   public void aUnitGoneAndBackWithinOneLineIsTheNewOneAndWhatCannotBeReadIsLeftOut()
       throws Exception {
-    net.listen(address(302), 1000, 1 << 20, FakeUnit::new);
-    Client client = new Client().started();
+    net.listen(address(302), 1000, 1 << 20, () -> peers.new UnitEnd());
+    Client client = peers.new Client().started();
     discovery
         .get(0)
         .chunk(
@@ -1031,7 +833,7 @@
   public void whatCannotBeReadIsAskedForAgainAfterPausesThatGrow() {
     int asked = discovery.size();
     for (int i = 0; i < 100; i++) {
-      Told watch = discovery.get(discovery.size() - 1);
+      Watch watch = discovery.get(discovery.size() - 1);
       if (watch.heard.length() > 0) {
         watch.heard.setLength(0);
         watch.begins();
@@ -1048,7 +850,7 @@
   public void peersSpeakOverDatagramsFromTheirOwnAddressesOnly() {
     List<byte[]> heard = new ArrayList<>();
     Datagrams other = net.datagrams(address(499), (from, bytes) -> heard.add(bytes));
-    Client client = new Client().started();
+    Client client = peers.new Client().started();
     client.asks(look(900));
     last().says(value("x"));
     net.pass(600);
