Send nothing by an endpoint list that discovery has not confirmed

Cause: PlatformRelay.start took the configured list, which may be old, as if discovery had sent it, and accepted clients after 1 s without a word from discovery. The same cause on a related path: after a SIGHUP that moves discovery to a silent address the former list held for ever.

Change: the list is unconfirmed at a start, and 4 s after a move to an address that says nothing (EndpointListConfirmation); by an unconfirmed list the policy sends nothing (EndpointListGate). The relay listens once the list is confirmed, or 7 s after its start, and rejects then until it is. SIGTERM before that ends it at once.

Why it works: no attempt can be chosen without a confirmed list, whatever path asks for one, and readiness keeps to the 10 s of the standing test.

Tests of the loop's relay wait for its port behind the first list, as it does not listen before; what they check is unchanged.

--- a/src/main/java/sprucerock/cli/ServeCommand.java
+++ b/src/main/java/sprucerock/cli/ServeCommand.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import picocli.CommandLine.Command;
 import sprucerock.config.ConfigException;
 import sprucerock.policy.RoutingPolicy;
@@ -37,6 +38,11 @@
     CountDownLatch ended = new CountDownLatch(1);
     AtomicReference<String> wrong = new AtomicReference<>();
     Semaphore asks = new Semaphore(0);
+    Consumer<IOException> listenFailed =
+        e -> {
+          wrong.set("an address can't be listened at: " + e.getMessage());
+          ended.countDown();
+        };
     FatalThreadHandler.install();
     try {
       PlatformConfig config = PlatformConfig.read(System.getenv());
@@ -58,10 +64,9 @@
             try {
               serving.set(
                   new PlatformRelay(config, loop, System.currentTimeMillis(), asks::release));
-              serving.get().start(RoutingPolicy::new);
+              serving.get().start(RoutingPolicy::new, listenFailed);
             } catch (IOException e) {
-              wrong.set("an address can't be listened at: " + e.getMessage());
-              ended.countDown();
+              listenFailed.accept(e);
             }
           });
       Thread settings = new Thread(() -> readWhenAsked(asks, loop, serving), "settings");
--- a/src/main/java/sprucerock/lab/UnresponsivePeer.java
+++ b/src/main/java/sprucerock/lab/UnresponsivePeer.java
@@ -4,6 +4,7 @@
 import sprucerock.model.Attempt;
 import sprucerock.model.Build;
 import sprucerock.model.Endpoint;
+import sprucerock.model.EndpointListState;
 import sprucerock.model.Method;
 import sprucerock.model.RolloutState;
 import sprucerock.model.Rpc;
@@ -41,6 +42,9 @@
   @Override
   public void endpointListFailed() {}
 
+  @Override
+  public void endpointListStateChanged(EndpointListState state) {}
+
   @Override
   public void rpcArrived(Rpc rpc) {}
 
--- a/src/main/java/sprucerock/policy/EndpointSelector.java
+++ b/src/main/java/sprucerock/policy/EndpointSelector.java
@@ -29,6 +29,7 @@
   private final Settings settings;
   private final DeterministicRandom random;
   private final CanaryStatus canary;
+  private final EndpointListGate listGate;
   private final ExposureLimiter exposure;
   private final KeyAffinity keys;
   private final SlowStartLimiter slowStart;
@@ -44,6 +45,7 @@
       Settings settings,
       DeterministicRandom random,
       CanaryStatus canary,
+      EndpointListGate listGate,
       ExposureLimiter exposure,
       KeyAffinity keys,
       SlowStartLimiter slowStart,
@@ -55,6 +57,7 @@
     this.settings = settings;
     this.random = random;
     this.canary = canary;
+    this.listGate = listGate;
     this.exposure = exposure;
     this.keys = keys;
     this.slowStart = slowStart;
@@ -109,6 +112,9 @@
 
   /** Selects an endpoint of the build for the request; returns null if none may be used. */
   Endpoint selectIn(Rpc rpc, Build build) {
+    if (!listGate.allowsAttempts()) {
+      return null;
+    }
     Timestamp now = actions.now();
     Attempt mayHaveRun = rpc.firstThatMayHaveRun();
     boolean mayProbe = rpc.method.idempotent() && rpc.attempts.isEmpty();
--- a/src/main/java/sprucerock/policy/RelayEvents.java
+++ b/src/main/java/sprucerock/policy/RelayEvents.java
@@ -3,6 +3,7 @@
 import sprucerock.model.Attempt;
 import sprucerock.model.Build;
 import sprucerock.model.Endpoint;
+import sprucerock.model.EndpointListState;
 import sprucerock.model.Method;
 import sprucerock.model.RolloutState;
 import sprucerock.model.Rpc;
@@ -27,6 +28,12 @@
   /** A requested endpoint list did not arrive, or the subscription broke. */
   void endpointListFailed();
 
+  /**
+   * The endpoint list was confirmed by discovery, or is no longer. A host whose endpoints all come
+   * from discovery in this process need not call this: the list counts as confirmed until then.
+   */
+  void endpointListStateChanged(EndpointListState state);
+
   /**
    * The controller sent the state of a rollout.
    *
--- a/src/main/java/sprucerock/policy/RoutingPolicy.java
+++ b/src/main/java/sprucerock/policy/RoutingPolicy.java
@@ -4,6 +4,7 @@
 import sprucerock.model.AttemptOutcome;
 import sprucerock.model.Build;
 import sprucerock.model.Endpoint;
+import sprucerock.model.EndpointListState;
 import sprucerock.model.Method;
 import sprucerock.model.RolloutState;
 import sprucerock.model.Rpc;
@@ -38,6 +39,7 @@
   private final CanaryStatus canary;
   private final ArrivalRate arrivals;
   private final EndpointListSubscription subscription;
+  private final EndpointListGate listGate = new EndpointListGate();
   private final ExposureLimiter exposure;
   private final SlowStartLimiter slowStart;
   private final OutlierDetector outliers;
@@ -78,8 +80,8 @@
     RetryBudget budget = new RetryBudget(actions, arrivals);
     selector =
         new EndpointSelector(
-            actions, settings, random, canary, exposure, keys, slowStart, outliers, latency, gossip,
-            budget);
+            actions, settings, random, canary, listGate, exposure, keys, slowStart, outliers,
+            latency, gossip, budget);
     sender =
         new AttemptSender(
             actions, settings, canary, exposure, slowStart, latency, gossip, this::attemptOverdue);
@@ -121,6 +123,11 @@
     subscription.listFailed();
   }
 
+  @Override
+  public void endpointListStateChanged(EndpointListState state) {
+    listGate.stateChanged(state);
+  }
+
   @Override
   public void rolloutChanged(
       Build build, int stage, RolloutState state, double cap, Timestamp since) {
--- a/src/main/java/sprucerock/relay/platform/ClientListener.java
+++ b/src/main/java/sprucerock/relay/platform/ClientListener.java
@@ -84,9 +84,14 @@
     sentOn = new RecentIds(seed);
   }
 
+  /**
+   * Listens, and accepts connections at once: what the system accepts is read without delay.
+   *
+   * @throws IOException if the address can't be bound
+   */
   void start(InetSocketAddress at) throws IOException {
     listener =
-        net.bind(
+        net.listen(
             at,
             maxConnections + CLOSING_CONNECTIONS,
             MAX_UNSENT_BYTES,
@@ -109,13 +114,9 @@
     checkConnections();
   }
 
-  void startAccepting() {
-    listener.startAccepting();
-  }
-
-  /** Where it listens, with the port that was chosen. */
+  /** Where it listens, with the port that was chosen; null before it does. */
   InetSocketAddress address() {
-    return listener.address();
+    return listener == null ? null : listener.address();
   }
 
   int size() {
--- a/src/main/java/sprucerock/relay/platform/Discovery.java
+++ b/src/main/java/sprucerock/relay/platform/Discovery.java
@@ -14,6 +14,7 @@
 import java.util.zip.CRC32;
 import sprucerock.accounting.RequestTracker;
 import sprucerock.model.Endpoint;
+import sprucerock.model.EndpointListState;
 import sprucerock.relay.engine.EventLog;
 import sprucerock.time.TimeSpan;
 import sprucerock.time.Timestamp;
@@ -54,7 +55,7 @@
   /** The loop's clock at the origin of Unix time. */
   private final Timestamp unix;
 
-  private final Runnable learnt;
+  private final EndpointListConfirmation confirmation;
   private final Runnable lost;
   private final ReconnectingWatch feed;
   private final TreeMap<Long, String> names = new TreeMap<>();
@@ -63,7 +64,9 @@
   private Telling telling;
 
   private long version;
-  private boolean listed;
+
+  /** How often discovery has moved to another address. */
+  private int moves;
 
   Discovery(
       Net net,
@@ -73,14 +76,14 @@
       PlatformConnectionPools doors,
       Timestamp unix,
       DoubleSupplier dice,
-      Runnable learnt,
+      EndpointListConfirmation confirmation,
       Runnable lost) {
     this.net = net;
     this.ledger = ledger;
     this.events = events;
     this.doors = doors;
     this.unix = unix;
-    this.learnt = learnt;
+    this.confirmation = confirmation;
     this.lost = lost;
     zones = config.zones;
     kinds = config.kinds;
@@ -97,13 +100,18 @@
             EventLog.Event.LISTING_REFUSED, "the list in the configuration: " + e.getMessage());
       }
     }
-    listed = false;
     feed.dial();
   }
 
   /** True where it was elsewhere before. */
   boolean move(InetSocketAddress there) {
-    return feed.move(there);
+    int before = moves++; // the watch that is asked for within the call is one of the new address
+    if (feed.move(there)) {
+      confirmation.moved();
+      return true;
+    }
+    moves = before;
+    return false;
   }
 
   TimeSpan silent() {
@@ -114,11 +122,6 @@
     feed.stop();
   }
 
-  /** Something was told since the start. */
-  boolean listed() {
-    return listed;
-  }
-
   /** The unit of a name; null where none is listed. */
   Endpoint unit(String name) {
     long id = number(name);
@@ -132,6 +135,7 @@
 
   /** One watch's answer. */
   private final class Telling implements ReconnectingWatch.Answer {
+    private final int movesBefore = moves;
     private final EndpointListParser parser = new EndpointListParser(LIST, ENTRIES);
 
     /**
@@ -154,8 +158,7 @@
 
     private void listReceived(EndpointList list) {
       says(list);
-      listed = true;
-      learnt.run();
+      confirmation.listReceived(movesBefore == moves);
     }
 
     /**
@@ -223,7 +226,10 @@
 
   @Override
   public void lost(String why) {
-    events.warn(EventLog.Event.ROSTER_LOST, why + "; the units listed last hold");
+    boolean isConfirmed = confirmation.state() == EndpointListState.CONFIRMED;
+    events.warn(
+        EventLog.Event.ROSTER_LOST,
+        why + (isConfirmed ? "; the units listed last hold" : "; the list is not confirmed"));
     lost.run();
   }
 
--- a/src/main/java/sprucerock/relay/platform/PlatformRelay.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformRelay.java
@@ -4,9 +4,11 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import sprucerock.accounting.RequestTracker;
 import sprucerock.model.Attempt;
 import sprucerock.model.Build;
+import sprucerock.model.EndpointListState;
 import sprucerock.model.Method;
 import sprucerock.model.Verdict;
 import sprucerock.relay.engine.AttemptExchange;
@@ -38,8 +40,8 @@
   /** Three in four of a third: beyond it quiet clients give way before others find no place. */
   private static final double UNCROWDED_CLIENT_SHARE = 1.0 / 4;
 
-  /** Discovery's agent answers at once. */
-  private static final TimeSpan MAX_LIST_WAIT = TimeSpan.ofMs(1000);
+  /** Of the 10 s within which a restarted relay is ready; the rest is for its process to start. */
+  private static final TimeSpan MAX_LIST_WAIT = TimeSpan.ofMs(7000);
 
   /** Once the relay is told to end, new connections come for 400 ms at most. */
   static final TimeSpan ACCEPT_WHILE_ENDING = TimeSpan.ofMs(600);
@@ -90,7 +92,8 @@
   private final ReleaseApiClient desk;
   private final Map<InetSocketAddress, Integer> peers = new HashMap<>();
   private Datagrams datagrams;
-  private boolean taking;
+  private Consumer<IOException> listenFailureHandler;
+  private Timestamp startedAt;
   private boolean finishing;
 
   /**
@@ -151,7 +154,7 @@
             endpoints,
             unix,
             chance::next,
-            this::endpointListReceived,
+            new EndpointListConfirmation(net, this::endpointListStateChanged),
             this::endpointListLost);
     desk =
         new ReleaseApiClient(
@@ -169,13 +172,19 @@
   }
 
   /**
-   * Listens and links up. On the loop's thread.
+   * Connects to discovery and the release desk. Listens for clients once discovery has confirmed
+   * the endpoint list, or the time in which a relay has to be ready is over: what is accepted
+   * before it can be read would wait for too long. On the loop's thread.
    *
-   * @throws IOException if an address to listen at can't be had
+   * @param listenFailureHandler is told if the address for clients can't be listened at
+   * @throws IOException if the address for other relays can't be listened at
    */
-  public void start(PolicyFactory maker) throws IOException {
+  public void start(PolicyFactory maker, Consumer<IOException> listenFailureHandler)
+      throws IOException {
+    this.listenFailureHandler = listenFailureHandler;
+    startedAt = net.now();
     createPolicy(maker, config.seed);
-    clients.start(config.listen);
+    policy.endpointListStateChanged(EndpointListState.UNCONFIRMED);
     if (settings.gossipAllowed && config.peerListen != null) {
       datagrams = net.datagrams(config.peerListen, this::told);
     }
@@ -184,13 +193,15 @@
     desk.start(config.news);
     net.at(
         net.now().plus(MAX_LIST_WAIT),
-        () -> acceptClients("without discovery, which did not answer in time"));
+        () ->
+            acceptClients(
+                "without discovery, which did not answer in time: requests are rejected until it does"));
     net.at(net.now().plus(FIGURES_INTERVAL), this::figures);
     net.at(net.now().plus(REFUSALS_INTERVAL), this::logRefusals);
     beat(net.now());
   }
 
-  /** Where it listens for clients once it has started, with the port that was chosen. */
+  /** Where it listens for clients, with the port that was chosen; null before it does. */
   public InetSocketAddress listenAddress() {
     return clients.address();
   }
@@ -219,8 +230,16 @@
     net.at(net.now().plus(REFUSALS_INTERVAL), this::logRefusals);
   }
 
-  private void endpointListReceived() {
-    acceptClients("with a list");
+  private void endpointListStateChanged(EndpointListState state) {
+    policy.endpointListStateChanged(state);
+    if (state == EndpointListState.CONFIRMED) {
+      eventLog.info(EventLog.Event.ROSTER_BACK, "discovery has confirmed the list");
+      acceptClients("with a list");
+    } else {
+      eventLog.error(
+          EventLog.Event.ROSTER_LOST,
+          "nothing came from discovery's new address; requests are rejected until it tells");
+    }
   }
 
   private void endpointListLost() {
@@ -244,11 +263,16 @@
   }
 
   private void acceptClients(String how) {
-    if (taking || finishing) {
+    if (isListening() || finishing) {
+      return;
+    }
+    try {
+      clients.start(config.listen);
+    } catch (IOException e) {
+      finishing = true;
+      listenFailureHandler.accept(e);
       return;
     }
-    taking = true;
-    clients.startAccepting();
     eventLog.info(
         EventLog.Event.STARTED,
         "relay "
@@ -260,10 +284,17 @@
             + ", listens at "
             + clients.address()
             + ", "
-            + how);
+            + how
+            + ", "
+            + Math.round(net.now().since(startedAt).ms())
+            + " ms after its start");
     askSettings();
   }
 
+  private boolean isListening() {
+    return clients.address() != null;
+  }
+
   private void figures() {
     Runtime machine = Runtime.getRuntime();
     eventLog.info(
@@ -317,8 +348,9 @@
     }
     finishing = true;
     eventLog.info(EventLog.Event.FINISHING, requestTracker.openRpcs() + " RPCs are open");
-    if (!taking) {
-      clients.startAccepting();
+    if (!isListening()) {
+      end("no client had come", done);
+      return;
     }
     Timestamp now = net.now();
     TimeSpan time = config.longest.atMost(MAX_COUNTED_DEADLINE).plus(KILL_GRACE);
@@ -341,16 +373,20 @@
       net.at(net.now().plus(END_CHECK_INTERVAL), () -> endIfDone(by, done));
       return;
     }
+    end(
+        all
+            ? "every RPC taken has its answer"
+            : clients.size() + " clients have not read their answers in time",
+        done);
+  }
+
+  private void end(String how, Runnable done) {
     discovery.stop();
     desk.stop();
     if (datagrams != null) {
       datagrams.close();
     }
-    eventLog.info(
-        EventLog.Event.FINISHED,
-        all
-            ? "every RPC taken has its answer"
-            : clients.size() + " clients have not read their answers in time");
+    eventLog.info(EventLog.Event.FINISHED, how);
     done.run();
   }
 
--- a/src/main/java/sprucerock/relay/platform/WarmUp.java
+++ b/src/main/java/sprucerock/relay/platform/WarmUp.java
@@ -101,7 +101,11 @@
     net.turn(
         () -> {
           try {
-            serving.start(maker);
+            serving.start(
+                maker,
+                e -> {
+                  throw new java.io.UncheckedIOException(e);
+                });
           } catch (IOException e) {
             throw new java.io.UncheckedIOException(e);
           }
--- a/src/test/java/sprucerock/policy/RoutingPolicyTest.java
+++ b/src/test/java/sprucerock/policy/RoutingPolicyTest.java
@@ -10,6 +10,7 @@
 import sprucerock.model.Attempt;
 import sprucerock.model.AttemptOutcome;
 import sprucerock.model.Endpoint;
+import sprucerock.model.EndpointListState;
 import sprucerock.model.RolloutState;
 import sprucerock.model.Rpc;
 import sprucerock.model.Verdict;
@@ -487,4 +488,19 @@
     }
     assertTrue(relay.votes.contains(Verdict.BACK));
   }
+
+  /** Guards against a retry at an endpoint that drains unknown to an unconfirmed list. */
+  @Test
+  public void byAnUnconfirmedListNeitherRequestsNorRetriesAreSent() {
+    FakeRelayActions relay = new FakeRelayActions().withBaseline(3);
+    relay.arriveRpc(0);
+    relay.policy.endpointListStateChanged(EndpointListState.UNCONFIRMED);
+    relay.endAttempt(relay.sent.get(0), AttemptOutcome.FULL);
+    relay.arriveRpc(0);
+    assertEquals(relay.sent.size(), 1);
+    assertEquals(relay.rejected.size(), 2);
+    relay.policy.endpointListStateChanged(EndpointListState.CONFIRMED);
+    relay.arriveRpc(0);
+    assertEquals(relay.sent.size(), 2);
+  }
 }
--- a/src/test/java/sprucerock/relay/frames/RecordingRelayEvents.java
+++ b/src/test/java/sprucerock/relay/frames/RecordingRelayEvents.java
@@ -5,6 +5,7 @@
 import sprucerock.model.Attempt;
 import sprucerock.model.Build;
 import sprucerock.model.Endpoint;
+import sprucerock.model.EndpointListState;
 import sprucerock.model.Method;
 import sprucerock.model.RolloutState;
 import sprucerock.model.Rpc;
@@ -44,6 +45,11 @@
     record("list failed", RelayEvents::endpointListFailed);
   }
 
+  @Override
+  public void endpointListStateChanged(EndpointListState state) {
+    record("list " + state, m -> m.endpointListStateChanged(state));
+  }
+
   @Override
   public void rolloutChanged(
       Build build, int stage, RolloutState standing, double cap, Timestamp since) {
--- a/src/test/java/sprucerock/relay/platform/ClientCrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/ClientCrossingsTest.java
@@ -115,8 +115,8 @@
             config,
             (host, settings, seed) -> new RoutingPolicy(watched(host), settings, seed));
     serving = started.relay();
-    port = started.port();
     discovery.call().begins().list(4, false);
+    port = started.port();
     marker = client();
   }
 
--- a/src/test/java/sprucerock/relay/platform/ClientMemoryTest.java
+++ b/src/test/java/sprucerock/relay/platform/ClientMemoryTest.java
@@ -83,7 +83,6 @@
             MAX_CLIENTS,
             1);
     listener.start(ADDRESS);
-    listener.startAccepting();
   }
 
   private final class Client implements ConnectionListener, MessageFramer.Listener {
--- a/src/test/java/sprucerock/relay/platform/CrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/CrossingsTest.java
@@ -89,11 +89,11 @@
     loop = new NioLoop("relay", broken::add);
     LoopRelay started = LoopRelay.start(loop, config, RoutingPolicy::new);
     serving = started.relay();
-    port = started.port();
     Peers.Agent.Call told = discovery.call().begins().list(4, false);
     // guards against a test whose next event comes before the list was read: a watch that has told
     // nothing yet is given up as discovery moves
     Peers.read(told.socket);
+    port = started.port();
     return told;
   }
 
@@ -623,7 +623,6 @@
           } catch (IOException e) {
             throw new UncheckedIOException(e);
           }
-          door[0].startAccepting();
           listens.complete(door[0].address().getPort());
         });
     port = listens.get(Peers.LONG, TimeUnit.SECONDS);
--- a/src/test/java/sprucerock/relay/platform/InventedSettingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/InventedSettingsTest.java
@@ -26,6 +26,7 @@
   private Peers.Agent desk;
   private NioLoop loop;
   private PlatformRelay serving;
+  private LoopRelay started;
   private int port;
   private int ids;
   private final ConcurrentLinkedQueue<Throwable> broken = new ConcurrentLinkedQueue<>();
@@ -63,15 +64,15 @@
         PlatformConfig.of(
             Path.of("test"), text.getBytes(StandardCharsets.UTF_8), LoopRelay.ANY_PORT);
     loop = new NioLoop("relay", broken::add);
-    LoopRelay started = LoopRelay.start(loop, config, RoutingPolicy::new);
+    started = LoopRelay.start(loop, config, RoutingPolicy::new);
     serving = started.relay();
-    port = started.port();
   }
 
   private void listed(int build) throws Exception {
     Peers.Agent.Call watch =
         discovery.call().begins().list(1, true, endpoint.entry("u", "SERVING", build));
     Peers.read(watch.socket);
+    port = started.port();
   }
 
   private String asks(String method, boolean changes, int ms) {
--- a/src/test/java/sprucerock/relay/platform/ListCrossingsTest.java
+++ b/src/test/java/sprucerock/relay/platform/ListCrossingsTest.java
@@ -62,8 +62,8 @@
     loop = new NioLoop("relay", broken::add);
     LoopRelay started = LoopRelay.start(loop, config, RoutingPolicy::new);
     serving = started.relay();
-    port = started.port();
     watch = discovery.call().begins().list(4, false);
+    port = started.port();
     peers.new Client(port).welcomed(); // no client is before the list
   }
 
--- a/src/test/java/sprucerock/relay/platform/ListTimesTest.java
+++ b/src/test/java/sprucerock/relay/platform/ListTimesTest.java
@@ -74,7 +74,7 @@
     net.turn(
         () -> {
           try {
-            serving.start(RoutingPolicy::new);
+            serving.start(RoutingPolicy::new, SimulatedPeers::cannotListen);
           } catch (IOException e) {
             throw new AssertionError(e);
           }
--- a/src/test/java/sprucerock/relay/platform/PlatformSettingsCompatTest.java
+++ b/src/test/java/sprucerock/relay/platform/PlatformSettingsCompatTest.java
@@ -187,7 +187,7 @@
     net.turn(
         () -> {
           try {
-            serving.start(RoutingPolicy::new);
+            serving.start(RoutingPolicy::new, SimulatedPeers::cannotListen);
           } catch (IOException e) {
             throw new AssertionError(e);
           }
--- a/src/test/java/sprucerock/relay/platform/PlatformTest.java
+++ b/src/test/java/sprucerock/relay/platform/PlatformTest.java
@@ -93,7 +93,7 @@
     net.turn(
         () -> {
           try {
-            serving.start(RoutingPolicy::new);
+            serving.start(RoutingPolicy::new, SimulatedPeers::cannotListen);
           } catch (IOException e) {
             throw new AssertionError(e);
           }
--- a/src/test/java/sprucerock/relay/platform/SimulatedPeers.java
+++ b/src/test/java/sprucerock/relay/platform/SimulatedPeers.java
@@ -1,5 +1,6 @@
 package sprucerock.relay.platform;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -194,6 +195,11 @@
     }
   }
 
+  /** On a simulated network every address can be listened at. */
+  static void cannotListen(IOException why) {
+    throw new AssertionError(why);
+  }
+
   static InetSocketAddress address(int port) {
     return new InetSocketAddress("127.0.0.1", port);
   }
