Ask the policy again as an attempt is written, not only as it is chosen

Cause: an attempt may wait for its connection for the whole connect timeout; before its write only its own time was looked at (AttemptExchange.mayStart). The key and the cap were looked at as its endpoint was chosen, and not again.

Change: RelayEngine.mayWrite is asked before each write by the pools of both relays, and asks the policy's WriteAdmission: list confirmed, endpoint ready, key allowed at that build, cap and stage not lower than those under which the attempt took its token. What may not be written ends as MOOT, which never ran and says nothing of its endpoint; its request is chosen for anew.

Why it works: the write happens in the turn in which the policy is asked, so nothing that the relay has been told can lie between.

--- a/src/main/java/sprucerock/lab/UnresponsivePeer.java
+++ b/src/main/java/sprucerock/lab/UnresponsivePeer.java
@@ -48,6 +48,11 @@
   @Override
   public void rpcArrived(Rpc rpc) {}
 
+  @Override
+  public boolean mayWrite(Attempt attempt) {
+    return false;
+  }
+
   @Override
   public void streamStarted(Attempt attempt) {}
 
--- a/src/main/java/sprucerock/model/Attempt.java
+++ b/src/main/java/sprucerock/model/Attempt.java
@@ -30,6 +30,12 @@
    */
   public Timestamp writeBy;
 
+  /**
+   * The exposure cap under which this attempt was counted; 0 if its endpoint's build was not on
+   * trial when it was sent.
+   */
+  public double exposureCap;
+
   private AttemptOutcome outcome;
   private TimeSpan latency;
   private boolean written;
--- a/src/main/java/sprucerock/policy/AttemptSender.java
+++ b/src/main/java/sprucerock/policy/AttemptSender.java
@@ -43,13 +43,13 @@
   Attempt send(Rpc rpc, Endpoint endpoint, boolean shadow) {
     Timestamp now = actions.now();
     boolean onTrial = canary.isOnTrial(endpoint.build);
-    if (onTrial) {
-      exposure.spendToken(rpc.method);
-    }
     slowStart.attemptSent(endpoint, onTrial, now);
     TimeSpan overdueAfter = latency.overdueAfter(rpc);
     Attempt attempt = new Attempt(rpc, endpoint, now, timeout(rpc, overdueAfter, now));
     attempt.shadow = shadow;
+    if (onTrial) {
+      exposure.spendToken(attempt);
+    }
     attempt.writeBy = writeDeadline(rpc);
     actions.send(attempt);
     gossip.attemptStarted(endpoint);
--- a/src/main/java/sprucerock/policy/EndpointSelector.java
+++ b/src/main/java/sprucerock/policy/EndpointSelector.java
@@ -94,7 +94,7 @@
     Build minimumBuild = keys.minimumBuild(rpc);
     Endpoint endpoint = null;
     for (Build build : canary.buildsDescending()) {
-      if (endpoint != null || minimumBuild != null && build.number < minimumBuild.number) {
+      if (endpoint != null || !keys.allows(rpc, build)) {
         break;
       }
       boolean trialAllowed =
--- a/src/main/java/sprucerock/policy/ExposureLimiter.java
+++ b/src/main/java/sprucerock/policy/ExposureLimiter.java
@@ -1,5 +1,6 @@
 package sprucerock.policy;
 
+import sprucerock.model.Attempt;
 import sprucerock.model.Build;
 import sprucerock.model.Method;
 import sprucerock.model.RolloutState;
@@ -29,11 +30,33 @@
     if (canary.trial() == null) {
       return false;
     }
-    double cap = canary.isCanary(build) ? canary.cap() : settings.exposureCaps.get(0);
-    int stage = canary.isCanary(build) ? canary.trial().stage() : 0;
-    return cap > 0
+    return cap(build) > 0
         && (settings.capsPerMethod ? method.canaryTokens : sharedTokens) >= tokens
-        && (method.idempotent() || stage >= settings.guardedStages);
+        && stageAllows(build, method);
+  }
+
+  private double cap(Build build) {
+    return canary.isCanary(build) ? canary.cap() : settings.exposureCaps.get(0);
+  }
+
+  private boolean stageAllows(Build build, Method method) {
+    int stage = canary.isCanary(build) ? canary.trial().stage() : 0;
+    return method.idempotent() || stage >= settings.guardedStages;
+  }
+
+  /**
+   * Whether an attempt that was sent earlier, and is about to be written, is still covered: its
+   * build is not on trial, or the attempt took a token under a cap that was not lowered since. A
+   * build that has come to be on trial since, by a rollback, covers none.
+   */
+  boolean stillAllows(Attempt attempt) {
+    Build build = attempt.endpoint.build;
+    if (!canary.isOnTrial(build)) {
+      return true;
+    }
+    return attempt.exposureCap > 0
+        && cap(build) >= attempt.exposureCap
+        && stageAllows(build, attempt.rpc.method);
   }
 
   /**
@@ -53,9 +76,10 @@
     method.canaryTokens = Math.min(settings.uncappedCanaryAttempts, method.canaryTokens + share);
   }
 
-  /** Takes a token for an attempt at a build on trial. */
-  void spendToken(Method method) {
+  /** Takes a token for an attempt at a build on trial, under the present cap. */
+  void spendToken(Attempt attempt) {
     sharedTokens -= 1;
-    method.canaryTokens -= 1;
+    attempt.rpc.method.canaryTokens -= 1;
+    attempt.exposureCap = cap(attempt.endpoint.build);
   }
 }
--- a/src/main/java/sprucerock/policy/KeyAffinity.java
+++ b/src/main/java/sprucerock/policy/KeyAffinity.java
@@ -56,6 +56,12 @@
     return canary.isReleased() || trial.stickyKeys.contains(rpc.key) ? trial.build : null;
   }
 
+  /** Whether the build may get the request, by its key. */
+  boolean allows(Rpc rpc, Build build) {
+    Build minimumBuild = minimumBuild(rpc);
+    return minimumBuild == null || build.number >= minimumBuild.number;
+  }
+
   /**
    * Reserves the share of traffic that the key brings if it becomes sticky; returns false if the
    * share does not fit.
--- a/src/main/java/sprucerock/policy/RelayEvents.java
+++ b/src/main/java/sprucerock/policy/RelayEvents.java
@@ -12,8 +12,8 @@
 import sprucerock.time.Timestamp;
 
 /**
- * Events that the host reports to the policy, one method for each. The state in {@code
- * sprucerock.model} is updated before the call.
+ * Events that the host reports to the policy, and the one question that it asks, one method for
+ * each. The state in {@code sprucerock.model} is updated before the call.
  */
 public interface RelayEvents {
   /** The endpoint may get new work from now on. */
@@ -45,6 +45,12 @@
   /** A client sent an RPC. The policy must end the RPC before its deadline in all cases. */
   void rpcArrived(Rpc rpc);
 
+  /**
+   * Asks whether an attempt may still be written to its connection; called right before. If not, it
+   * must not be written, and ends as {@link sprucerock.model.AttemptOutcome#MOOT}.
+   */
+  boolean mayWrite(Attempt attempt);
+
   /** The first part of a streamed answer arrived and goes to the client. */
   void streamStarted(Attempt attempt);
 
--- a/src/main/java/sprucerock/policy/RoutingPolicy.java
+++ b/src/main/java/sprucerock/policy/RoutingPolicy.java
@@ -49,6 +49,7 @@
   private final LatencyTracker latency;
   private final EndpointSelector selector;
   private final AttemptSender sender;
+  private final WriteAdmission writes;
   private final RetryPolicy retries;
   private final RequestCompletion completion;
   private final ShadowTraffic shadows;
@@ -85,6 +86,7 @@
     sender =
         new AttemptSender(
             actions, settings, canary, exposure, slowStart, latency, gossip, this::attemptOverdue);
+    writes = new WriteAdmission(listGate, keys, exposure);
     retries = new RetryPolicy(actions, settings, budget, selector, sender);
     completion = new RequestCompletion(actions, settings, admission);
     shadows = new ShadowTraffic(settings, random, canary, exposure, keys, budget, selector, sender);
@@ -208,6 +210,11 @@
     }
   }
 
+  @Override
+  public boolean mayWrite(Attempt attempt) {
+    return writes.mayWrite(attempt);
+  }
+
   @Override
   public void streamStarted(Attempt attempt) {
     admission.settle(attempt.rpc);
--- a/src/main/java/sprucerock/relay/engine/AttemptExchange.java
+++ b/src/main/java/sprucerock/relay/engine/AttemptExchange.java
@@ -43,10 +43,10 @@
   }
 
   /**
-   * Whether it may still be put on a connection: while it waited for one, its request may have
-   * ended, or the time by which it had to start may have passed.
+   * Whether its own time allows to put it on a connection: while it waited for one, its request may
+   * have ended, or the time by which it had to start may have passed.
    */
-  public final boolean mayStart(Timestamp now) {
+  final boolean mayStart(Timestamp now) {
     return !attempt.rpc.ended() && (attempt.writeBy == null || attempt.writeBy.after(now));
   }
 
--- a/src/main/java/sprucerock/relay/engine/RelayEngine.java
+++ b/src/main/java/sprucerock/relay/engine/RelayEngine.java
@@ -178,6 +178,16 @@
     requestTracker.attemptWritten(exchange.attempt());
   }
 
+  /**
+   * Whether an attempt may be written to its connection now. What its selection rested on may have
+   * changed while it waited for that.
+   *
+   * @param clock the event loop's clock, read anew where a turn may take long
+   */
+  public boolean mayWrite(AttemptExchange exchange, Timestamp clock) {
+    return exchange.mayStart(clock) && policy.mayWrite(exchange.attempt());
+  }
+
   private void timedOut(AttemptExchange exchange) {
     if (exchange.hasEnded()) {
       return;
--- a/src/main/java/sprucerock/relay/frames/EndpointConnectionPool.java
+++ b/src/main/java/sprucerock/relay/frames/EndpointConnectionPool.java
@@ -26,6 +26,9 @@
     /** Begins a connection, by TLS to that name where configured, and hands it its frames. */
     void openConnection(EndpointConnection connection, InetSocketAddress to, String name);
 
+    /** Whether an attempt that waited for a connection may be written now. */
+    boolean mayWrite(AttemptExchange exchange, Timestamp now);
+
     /** An attempt has its outcome. */
     void attemptEnded(AttemptExchange exchange, AttemptOutcome outcome, byte[] body);
 
@@ -185,7 +188,7 @@
         && connection.load() < config.attemptsPerConnection) {
       FrameExchange next = waiting.poll();
       next.connectTimer.cancel();
-      if (!next.mayStart(listener.now())) {
+      if (!listener.mayWrite(next, listener.now())) {
         listener.attemptEndsAfterTurn(next, AttemptOutcome.MOOT);
       } else {
         connection.send(next, listener.now());
--- a/src/main/java/sprucerock/relay/frames/EndpointConnections.java
+++ b/src/main/java/sprucerock/relay/frames/EndpointConnections.java
@@ -86,6 +86,11 @@
     tlsConnections.connectToEndpoint(connection.endpoint().id, to, name, connection.connection);
   }
 
+  @Override
+  public boolean mayWrite(AttemptExchange exchange, Timestamp now) {
+    return relay.mayWrite(exchange, now);
+  }
+
   @Override
   public void attemptEnded(AttemptExchange exchange, AttemptOutcome outcome, byte[] body) {
     relay.attemptEnded(exchange, outcome, body);
--- a/src/main/java/sprucerock/relay/platform/PlatformConnectionPool.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformConnectionPool.java
@@ -113,7 +113,7 @@
     while (next == null && !waiting.isEmpty()) {
       next = waiting.poll();
       next.waiting.cancel();
-      if (!next.mayStart(doors.clock())) {
+      if (!doors.mayWrite(next)) {
         doors.endsSoon(next, AttemptOutcome.MOOT);
         next = null;
       }
@@ -170,6 +170,10 @@
     doors.spoilt(endpoint, why);
   }
 
+  boolean mayWrite(PgExchange exchange) {
+    return doors.mayWrite(exchange);
+  }
+
   void written(PgExchange exchange) {
     doors.written(exchange);
   }
--- a/src/main/java/sprucerock/relay/platform/PlatformConnectionPools.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformConnectionPools.java
@@ -20,6 +20,8 @@
 final class PlatformConnectionPools {
   /** What the doors need of the relay. */
   interface Owner {
+    boolean mayWrite(sprucerock.relay.engine.AttemptExchange exchange, Timestamp clock);
+
     void attemptEnded(
         sprucerock.relay.engine.AttemptExchange exchange, AttemptOutcome outcome, byte[] body);
 
@@ -167,6 +169,11 @@
     events.warn(EventLog.Event.PLATFORM_UNREADABLE, "unit " + endpoint.id + " sent " + why);
   }
 
+  /** By the clock read anew, as a turn may take long. */
+  boolean mayWrite(PgExchange exchange) {
+    return owner.mayWrite(exchange, net.readClock());
+  }
+
   void written(PgExchange exchange) {
     owner.attemptWritten(exchange);
   }
--- a/src/main/java/sprucerock/relay/platform/PlatformEndpointConnection.java
+++ b/src/main/java/sprucerock/relay/platform/PlatformEndpointConnection.java
@@ -124,14 +124,14 @@
   /**
    * At the end of the turn, by the clock read anew. Guards against a turn that takes long: its
    * statement would tell the unit more time than is left to the client, or would leave though its
-   * client's close, its answer or its own end came meanwhile.
+   * client's close, its answer, its own end or what forbids it came meanwhile.
    */
   private void write(PgExchange next) {
     if (closed || exchange != next) {
       return;
     }
     Timestamp clock = door.clock();
-    if (next.mayStart(clock) && next.deadline().after(clock)) {
+    if (door.mayWrite(next) && next.deadline().after(clock)) {
       writeStatement(next, next.deadline().since(clock).ms());
       mark = connection.bytesWritten();
       door.written(next);
--- a/src/test/java/sprucerock/policy/RoutingPolicyTest.java
+++ b/src/test/java/sprucerock/policy/RoutingPolicyTest.java
@@ -503,4 +503,67 @@
     relay.arriveRpc(0);
     assertEquals(relay.sent.size(), 2);
   }
+
+  /** Guards against a key that goes back to the baseline while its attempt awaits a connection. */
+  @Test
+  public void anAttemptIsNotWrittenOnceTheCanaryHasAnsweredItsKey() {
+    FakeRelayActions relay = new FakeRelayActions(ONE_WAY_KEYS).withBaseline(4);
+    for (long key = 100; key < 140; key++) {
+      relay.arriveRpc(0, key, 4000);
+      relay.advance(50);
+      relay.endAllInFlight(AttemptOutcome.OK, AttemptOutcome.OK);
+    }
+    relay.withCanary(3, 1, 1.0);
+    Rpc shadowed = relay.arriveUntilShadowed(7);
+    Attempt waiting = relay.arriveRpc(2, 7, 4000).attempts.get(0);
+    Attempt ofAnotherKey = relay.arriveRpc(2, 8, 4000).attempts.get(0);
+    assertSame(waiting.endpoint.build, relay.baseline);
+    assertTrue(relay.policy.mayWrite(waiting));
+    for (Attempt attempt : shadowed.attempts) {
+      if (attempt.endpoint.build == relay.canary) {
+        relay.endAttempt(attempt, AttemptOutcome.OK);
+      }
+    }
+    assertFalse(relay.policy.mayWrite(waiting));
+    assertTrue(relay.policy.mayWrite(ofAnotherKey));
+    relay.tracker.rolloutChanged(2, 1, RolloutState.GOING_BACK, 0, relay.now());
+    assertTrue(relay.policy.mayWrite(waiting));
+  }
+
+  /** Guards against attempts above a cap that was lowered while they awaited their connections. */
+  @Test
+  public void anAttemptAtTheCanaryIsNotWrittenUnderALowerCap() {
+    FakeRelayActions relay = new FakeRelayActions().withBaseline(4).withCanary(3, 1, 0.4);
+    Attempt shadow = relay.arriveUntilShadowed(7).attempts.get(1);
+    assertSame(shadow.endpoint.build, relay.canary);
+    assertTrue(relay.policy.mayWrite(shadow));
+    relay.tracker.rolloutChanged(2, 2, RolloutState.ON_TRIAL, 1.0, relay.now());
+    assertTrue(relay.policy.mayWrite(shadow));
+    relay.tracker.rolloutChanged(2, 2, RolloutState.GOING_BACK, 0.2, relay.now());
+    assertFalse(relay.policy.mayWrite(shadow));
+  }
+
+  /** Guards against attempts at a released build that is sent back while they await connections. */
+  @Test
+  public void anAttemptAtAReleasedBuildIsNotWrittenOnceItIsSentBack() {
+    FakeRelayActions relay = new FakeRelayActions().withBaseline(2).withCanary(4, 2, 1.0);
+    relay.tracker.rolloutChanged(2, 2, RolloutState.RELEASED, 1, relay.now());
+    Attempt waiting = relay.arriveRpc(0).attempts.get(0);
+    assertSame(waiting.endpoint.build, relay.canary);
+    assertTrue(relay.policy.mayWrite(waiting));
+    relay.tracker.rolloutChanged(2, 2, RolloutState.GOING_BACK, 0.5, relay.now());
+    assertFalse(relay.policy.mayWrite(waiting));
+  }
+
+  @Test
+  public void anAttemptIsNotWrittenToAnEndpointThatDrainsOrByAnUnconfirmedList() {
+    FakeRelayActions relay = new FakeRelayActions().withBaseline(3);
+    Attempt waiting = relay.arriveRpc(0).attempts.get(0);
+    relay.policy.endpointListStateChanged(EndpointListState.UNCONFIRMED);
+    assertFalse(relay.policy.mayWrite(waiting));
+    relay.policy.endpointListStateChanged(EndpointListState.CONFIRMED);
+    assertTrue(relay.policy.mayWrite(waiting));
+    relay.tracker.endpointRemoved(waiting.endpoint.id);
+    assertFalse(relay.policy.mayWrite(waiting));
+  }
 }
--- a/src/test/java/sprucerock/relay/frames/FrameRelayTest.java
+++ b/src/test/java/sprucerock/relay/frames/FrameRelayTest.java
@@ -74,6 +74,7 @@
     private final List<Endpoint> ready = new ArrayList<>();
     private final List<Attempt> attempts = new ArrayList<>();
     private boolean waits;
+    private boolean forbidsWrites;
     private boolean faulty;
 
     @Override
@@ -106,6 +107,11 @@
           });
     }
 
+    @Override
+    public boolean mayWrite(Attempt attempt) {
+      return !forbidsWrites;
+    }
+
     Attempt send(Rpc rpc, TimeSpan patience) {
       Attempt attempt = new Attempt(rpc, ready.get(0), actions.now(), patience);
       attempts.add(attempt);
@@ -389,6 +395,20 @@
     assertEquals(endpoints.get(0).received.size() + endpoints.get(1).received.size(), 6);
   }
 
+  /** Guards against an attempt that is written though what it was selected by holds no more. */
+  @Test
+  public void waitingAttemptIsNotSentOnceThePolicyForbidsIt() {
+    policy.waits = true;
+    for (int i = 1; i <= 7; i++) {
+      sendRequest(i);
+    }
+    policy.forbidsWrites = true;
+    endpointAnswers(1, Result.DONE);
+    net.settle();
+    assertEquals(policy.attempts.get(6).outcome().name(), "MOOT");
+    assertEquals(endpoints.get(0).received.size() + endpoints.get(1).received.size(), 6);
+  }
+
   @Test
   public void connectTimeoutEndsWaitingAttemptsAsNotConnected() {
     net.setConnectsHang(true);
--- a/src/test/java/sprucerock/relay/frames/RecordingRelayEvents.java
+++ b/src/test/java/sprucerock/relay/frames/RecordingRelayEvents.java
@@ -63,6 +63,11 @@
     record("arrived " + rpc.id, m -> m.rpcArrived(rpc));
   }
 
+  @Override
+  public boolean mayWrite(Attempt attempt) {
+    return delegate == null || delegate.mayWrite(attempt);
+  }
+
   @Override
   public void streamStarted(Attempt attempt) {
     record("stream " + attempt.rpc.id, m -> m.streamStarted(attempt));
--- a/src/test/java/sprucerock/relay/platform/SimulatedPeers.java
+++ b/src/test/java/sprucerock/relay/platform/SimulatedPeers.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import sprucerock.time.TimeSpan;
 import sprucerock.transport.net.Connection;
 import sprucerock.transport.net.ConnectionListener;
@@ -35,12 +36,23 @@
   /** A unit's end of a connection: greets, and answers queries as the test says. */
   final class UnitEnd implements ConnectionListener, MessageFramer.Listener {
     private final MessageFramer in = MessageFramer.fromClient(1 << 18);
+    private final BooleanSupplier comesUpLate;
     private Connection connection;
+    private boolean awaitsWelcome;
     String query;
 
     /** Sent as the next query comes, in front of its answer: a second copy that crosses it. */
     byte[] lateCopy = {};
 
+    UnitEnd() {
+      this(() -> false);
+    }
+
+    /** One whose connection comes up late while {@code comesUpLate}: see {@link #welcome}. */
+    UnitEnd(BooleanSupplier comesUpLate) {
+      this.comesUpLate = comesUpLate;
+    }
+
     @Override
     public void connected(Connection made) {
       connection = made;
@@ -64,7 +76,10 @@
     public void onMessage(char type, byte[] body) throws ProtocolException {
       if (type == 0) {
         in.startupComplete();
-        connection.append(MessageWriter.sessionStart());
+        awaitsWelcome = comesUpLate.getAsBoolean();
+        if (!awaitsWelcome) {
+          connection.append(MessageWriter.sessionStart());
+        }
       } else if (type == 'Q') {
         connection.append(lateCopy);
         lateCopy = new byte[0];
@@ -82,6 +97,15 @@
       asked.add(this);
     }
 
+    /** Brings the connection up where it came late. */
+    void welcome() {
+      if (awaitsWelcome) {
+        awaitsWelcome = false;
+        net.turn(() -> connection.append(MessageWriter.sessionStart()));
+        net.settle();
+      }
+    }
+
     void says(byte[]... messages) {
       query = null;
       net.turn(() -> connection.append(MessageWriter.concat(messages)));
