Hold the end of a relay whose address for clients is taken

Cause: serve listens behind its start since, so that a taken address is told by another path than before, which no test went. Change: ServeProcessTest.anAddressThatIsTakenEndsItWithItsReason.

--- a/src/test/java/sprucerock/relay/platform/ServeProcessTest.java
+++ b/src/test/java/sprucerock/relay/platform/ServeProcessTest.java
@@ -1,5 +1,6 @@
 package sprucerock.relay.platform;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -14,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
+import sprucerock.cli.Commands;
 
 /**
  * A relay as its own process, whose surroundings change while it starts; nothing hangs on how fast.
@@ -120,4 +122,23 @@
       Files.delete(file);
     }
   }
+
+  /** Guards against a failure to listen that nobody hears of, as it comes behind the start. */
+  @Test
+  public void anAddressThatIsTakenEndsItWithItsReason() throws Exception {
+    Path file = Files.createTempFile("serve", ".json");
+    ServeProcess relay = null;
+    try (Agent agent = new Agent();
+        ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      Files.writeString(file, config(agent.address(), agent.address(), taken.getLocalPort()));
+      relay = ServeProcess.start(file, taken.getLocalPort());
+      relay.awaitLog("an address can't be listened at: ");
+      assertEquals(relay.awaitExit(), Commands.FAILED);
+    } finally {
+      if (relay != null) {
+        relay.kill();
+      }
+      Files.delete(file);
+    }
+  }
 }
